--- a/cmd/arbutusmast/main.go
+++ b/cmd/arbutusmast/main.go
@@ -13,6 +13,7 @@
 
 	"arbutusmast.example/arbutusmast/daemon"
 	"arbutusmast.example/arbutusmast/observe"
+	"arbutusmast.example/arbutusmast/platform"
 	"arbutusmast.example/arbutusmast/settings"
 	"go.uber.org/zap"
 )
@@ -33,6 +34,7 @@
 
 func run() int {
 	path := flag.String("config", "", "settings `FILE`")
+	hosted := flag.Bool("platform", false, "run the role that the settings in $"+platform.SettingsVariable+" name on the users' platform")
 	check := flag.Bool("check", false, "check the settings and exit")
 	showVersion := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
@@ -40,6 +42,9 @@
 		fmt.Println("arbutusmast", version)
 		return exitOK
 	}
+	if *hosted && flag.NArg() == 0 {
+		return serveHosted(*path)
+	}
 	if *path == "" || flag.NArg() > 0 {
 		flag.Usage()
 		return exitUsage
@@ -63,6 +68,25 @@
 // configurations change; at the default of 100 its peak was 32 MB.
 const gcPercent = 50
 
+// serveHosted runs a daemon on the users' platform. Without a path, the
+// platform's environment variable names the settings.
+func serveHosted(path string) int {
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	logger, err := observe.NewLogger(os.Stdout, "info")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	defer func() { _ = logger.Sync() }()
+	if err := daemon.RunOnPlatform(path, logger); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
 func serve(s *settings.Settings) int {
 	debug.SetGCPercent(gcPercent)
 	logger, err := observe.NewLogger(os.Stderr, s.Daemon.LogLevel)
--- a/control/node.go
+++ b/control/node.go
@@ -132,6 +132,7 @@
 	leader   atomic.Pointer[leaderView]
 	status   atomic.Pointer[consensus.Status]
 	members  atomic.Pointer[[]consensus.Member]
+	highest  atomic.Uint64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -244,6 +245,10 @@
 	return append([]consensus.Member(nil), *n.members.Load()...)
 }
 
+// HighestID returns the largest member id that was ever used, as far as this
+// member knows.
+func (n *Node) HighestID() consensus.MemberID { return consensus.MemberID(n.highest.Load()) }
+
 // Status returns the state of the log for operators.
 func (n *Node) Status() consensus.Status { return *n.status.Load() }
 
@@ -252,6 +257,7 @@
 	status := n.machine.Status()
 	members := n.machine.CommittedMembers().List
 	n.members.Store(&members)
+	n.highest.Store(uint64(n.machine.Members().Highest))
 	view := leaderView{self: status.Role == consensus.Leader}
 	if status.Leader != 0 {
 		view.address = n.addressOf(status.Leader)
--- /dev/null
+++ b/fleet/board.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"reflect"
+	"sync"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+)
+
+// reportLife is how long a report counts without a newer one.
+const reportLife = 5 * time.Second
+
+// board is a control member's list of backend servers, which the leader reads
+// and the other members copy.
+type board struct {
+	mu      sync.Mutex
+	source  string
+	stamp   Stamp
+	has     bool
+	readAt  time.Duration
+	list    backend.List
+	reports map[string]timedReport
+	// dirty tells that loads changed since the stamp did.
+	dirty bool
+	news  chan struct{}
+}
+
+type timedReport struct {
+	backend.Report
+	at time.Duration
+}
+
+func newBoard(source string) *board {
+	return &board{source: source, reports: map[string]timedReport{}, news: make(chan struct{})}
+}
+
+// changed returns a channel that is closed at the next change.
+func (b *board) changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.news
+}
+
+func (b *board) signal() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wake()
+}
+
+// wake is called with the lock held.
+func (b *board) wake() {
+	close(b.news)
+	b.news = make(chan struct{})
+}
+
+// publish makes a new stamp. The lock is held.
+func (b *board) publish() {
+	b.stamp = Stamp{Source: b.source, Number: b.stamp.Number + 1}
+	b.list.Reports = make(map[string]backend.Report, len(b.reports))
+	for address, r := range b.reports {
+		b.list.Reports[address] = r.Report
+	}
+	b.dirty = false
+	b.wake()
+}
+
+// read takes a list that the leader read, which began at a reading of Elapsed.
+func (b *board) read(servers []backend.Server, began time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for address, r := range b.reports {
+		if began-r.at > reportLife {
+			delete(b.reports, address)
+			b.dirty = true
+		}
+	}
+	same := b.has && reflect.DeepEqual(servers, b.list.Servers) && b.stamp.Source == b.source
+	b.has, b.readAt = true, began
+	b.list.Servers = servers
+	if !same || b.dirty {
+		b.publish()
+	}
+}
+
+// report takes an observation. A changed leaving mark is published at once,
+// loads with the next flush.
+func (b *board) report(r backend.Report, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, known := b.reports[r.Address]
+	b.reports[r.Address] = timedReport{r, now}
+	if r.Leaving != (known && old.Leaving) {
+		b.publish()
+	} else if !known || old.Load != r.Load {
+		b.dirty = true
+	}
+}
+
+// flush publishes changed loads.
+func (b *board) flush() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.dirty && b.has {
+		b.publish()
+	}
+}
+
+// copy takes over the leader's list from a member's follower.
+func (b *board) copy(v *View, readAt time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if v.list == b.stamp || v.list == (Stamp{}) {
+		b.readAt = max(b.readAt, readAt)
+		return
+	}
+	b.has, b.readAt, b.stamp = true, readAt, v.list
+	b.list = backend.List{Servers: v.Servers, Reports: v.Reports}
+	b.wake()
+}
+
+// fill writes what is newer than a stamp into a reply.
+func (b *board) fill(have Stamp, now time.Duration, reply *WatchReply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.has {
+		return
+	}
+	reply.HasList, reply.List, reply.ListAge = true, b.stamp, now-b.readAt
+	if b.stamp != have {
+		reply.Servers, reply.Reports = b.list.Servers, b.list.Reports
+	}
+}
+
+func (b *board) current() Stamp {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stamp
+}
--- /dev/null
+++ b/fleet/control.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"context"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusmast.example/arbutusmast/control"
+	"arbutusmast.example/arbutusmast/core/consensus"
+	"arbutusmast.example/arbutusmast/core/roster"
+	"arbutusmast.example/arbutusmast/wire"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// tickInterval replaces a lost leader within 1 s to 2 s, which is shorter
+	// than the time in which an operator expects an acknowledgment.
+	tickInterval = 50 * time.Millisecond
+	// snapshotBytes keeps the log far below the size of a small disk.
+	snapshotBytes = 1 << 20
+	// confirmInterval is the pause between confirmations by a quorum, and
+	// confirmTimeout bounds one.
+	confirmInterval = 200 * time.Millisecond
+	confirmTimeout  = 500 * time.Millisecond
+	// keepInterval is the pause between looks at lost members.
+	keepInterval = 500 * time.Millisecond
+	// listInterval is the pause between readings of the platform's list, which
+	// lags by about as much itself.
+	listInterval = 400 * time.Millisecond
+	// flushInterval bounds how often changed loads are published.
+	flushInterval = 250 * time.Millisecond
+	// memberChange bounds the commit of one change of members.
+	memberChange = 700 * time.Millisecond
+)
+
+// ErrRemoved tells that the group removed this member, whose data folder has
+// been emptied. The process joins under a new id when it starts again.
+var ErrRemoved = errors.New("the control group removed this member")
+
+// ControlOptions holds the parameters of a Control.
+type ControlOptions struct {
+	// Address is the own peer address.
+	Address string
+	// DataFolder is empty on a host without a disk, which forwards calls only.
+	DataFolder string
+	Seeds      func() []string
+	// Bootstrap is set at the very first start of the whole system.
+	Bootstrap bool
+	// Tolerance is the number of members that may be lost at once.
+	Tolerance int
+	Codec     Codec
+	Directory Directory
+	Pool      *wire.Pool
+	Dial      wire.Dialer
+	Server    *wire.Server
+	Logger    *zap.Logger
+}
+
+// Control is one member of the control group, or a forwarder to it.
+type Control struct {
+	options  ControlOptions
+	register *register
+	board    *board
+	follower *Follower
+	node     atomic.Pointer[control.Node]
+	// confirmed is the reading of Elapsed at which the last confirmation began.
+	confirmed atomic.Int64
+
+	mu     sync.Mutex
+	keeper *roster.Keeper
+	nonces map[string]consensus.MemberID
+}
+
+// NewControl registers the services of a member. Run makes it take part.
+func NewControl(options ControlOptions) (*Control, error) {
+	c := &Control{options: options, board: newBoard(options.Address + "/" + newNonce()), nonces: map[string]consensus.MemberID{}}
+	c.register = &register{changed: c.board.signal}
+	member := options.Address
+	if options.DataFolder == "" {
+		member = ""
+	}
+	c.follower = NewFollower(FollowerOptions{Seeds: options.Seeds, Codec: options.Codec, Pool: options.Pool, Logger: options.Logger, Member: member})
+	c.follower.OnChange(func(v *View) {
+		if at := c.follower.listRead.Load(); at != 0 {
+			c.board.copy(v, time.Duration(at))
+		}
+	})
+	return c, errors.Wrap(options.Server.Register(ServiceName, &service{c}), "register the fleet service")
+}
+
+// Run takes part in the group until ctx ends or the member fails.
+func (c *Control) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if c.options.DataFolder == "" {
+		c.follower.Run(ctx)
+		return nil
+	}
+	id, err := c.identify(ctx)
+	if err != nil {
+		return err
+	}
+	node, err := c.startNode(id)
+	if err != nil {
+		return err
+	}
+	defer node.Stop()
+	c.node.Store(node)
+	for _, run := range []func(context.Context){c.follower.Run, c.runConfirm, c.runKeep, c.runList, c.runFlush, c.runLeader} {
+		go run(ctx)
+	}
+	ticker := time.NewTicker(keepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-node.Done():
+			return errors.Wrap(node.Err(), "the control member failed")
+		case <-ticker.C:
+		}
+		if status := node.Status(); status.LostDisk || status.Removed {
+			node.Stop()
+			if err := discard(c.options.DataFolder); err != nil {
+				return err
+			}
+			return ErrRemoved
+		}
+	}
+}
+
+func (c *Control) startNode(id *identity) (*control.Node, error) {
+	members := map[consensus.MemberID]string{id.ID: c.options.Address}
+	for member, address := range id.Initial {
+		members[member] = address
+	}
+	node, err := control.StartNode(control.NodeConfig{
+		Folder: filepath.Join(c.options.DataFolder, logFolder), ID: id.ID, Members: members, Join: len(id.Initial) == 0,
+		Dial: c.options.Dial, Logger: c.options.Logger, TickInterval: tickInterval, SnapshotBytes: snapshotBytes,
+	}, c.register)
+	if err != nil {
+		return nil, err
+	}
+	if err := node.Register(c.options.Server); err != nil {
+		node.Stop()
+		return nil, err
+	}
+	return node, nil
+}
+
+// every calls a function at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		do()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// runConfirm keeps the time at which a quorum last confirmed this member's
+// state.
+func (c *Control) runConfirm(ctx context.Context) {
+	every(ctx, confirmInterval, func() {
+		began := Elapsed()
+		callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		if err := c.node.Load().Barrier(callCtx); err == nil {
+			raise(&c.confirmed, began)
+		}
+	})
+}
+
+// runLeader tells the follower whom to watch.
+func (c *Control) runLeader(ctx context.Context) {
+	every(ctx, flushInterval, func() {
+		address, _ := c.node.Load().Leader()
+		if address != c.follower.View().Leader {
+			c.follower.SetLeader(address)
+		}
+	})
+}
+
+func (c *Control) runFlush(ctx context.Context) {
+	every(ctx, flushInterval, func() {
+		if c.leads() {
+			c.board.flush()
+		}
+	})
+}
+
+// leads tells whether this member leads the group.
+func (c *Control) leads() bool {
+	node := c.node.Load()
+	if node == nil {
+		return false
+	}
+	_, self := node.Leader()
+	return self
+}
+
+// runList reads the platform's list while this member leads with a quorum. One
+// reader serves all daemons, because calls of the list are limited.
+func (c *Control) runList(ctx context.Context) {
+	failed := false
+	every(ctx, listInterval, func() {
+		if at, ok := age(&c.confirmed); !c.leads() || !ok || at > staleConfirmation {
+			return
+		}
+		began := Elapsed()
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		servers, err := c.options.Directory.List(callCtx)
+		if (err != nil) != failed {
+			failed = err != nil
+			c.options.Logger.Info("reading the list of backend servers", zap.Bool("succeeded", !failed), zap.Error(err))
+		}
+		if err == nil {
+			c.board.read(servers, began)
+		}
+	})
+}
+
+// runKeep removes lost members while this member leads.
+func (c *Control) runKeep(ctx context.Context) {
+	every(ctx, keepInterval, func() {
+		now := Elapsed()
+		c.mu.Lock()
+		if !c.leads() {
+			c.keeper = nil
+			c.mu.Unlock()
+			return
+		}
+		if c.keeper == nil {
+			c.keeper = roster.NewKeeper(now)
+		}
+		node := c.node.Load()
+		lost := c.keeper.Remove(now, node.Status().ID, node.Members(), 2*c.options.Tolerance+1)
+		c.mu.Unlock()
+		if lost == 0 {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, memberChange)
+		defer cancel()
+		err := node.RemoveMember(callCtx, lost)
+		c.options.Logger.Info("removed a lost control member", zap.Uint64("member", uint64(lost)), zap.Error(err))
+	})
+}
--- /dev/null
+++ b/gateway/head.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a request head.
+var (
+	errHeadTooLarge = errors.New("the request head is larger than the limit")
+	errMalformed    = errors.New("the request is malformed")
+)
+
+// framing tells how the body of a request is delimited.
+type framing struct {
+	chunked bool
+	length  int64
+}
+
+// readHead reads up to and including the empty line. Lines must end in CRLF:
+// parsers that disagree about line ends see different requests.
+func readHead(r *bufio.Reader, limit int64) ([]byte, error) {
+	var head []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		head = append(head, line...)
+		if int64(len(head)) > limit {
+			return nil, errHeadTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return head, err
+		}
+		if !bytes.HasSuffix(head, []byte("\r\n")) {
+			return nil, errMalformed
+		}
+		if bytes.HasSuffix(head, []byte("\r\n\r\n")) {
+			return head, nil
+		}
+		if len(head) == 2 {
+			// An empty line before a request is ignored, as RFC 9112 asks.
+			head = head[:0]
+		}
+	}
+}
+
+// parseHead parses a head strictly. A request that two parsers could frame in
+// two ways is malformed, because the rest of one could be taken for another
+// request.
+func parseHead(head []byte) (*http.Request, framing, error) {
+	lines := strings.Split(string(head[:len(head)-4]), "\r\n")
+	for i, line := range lines {
+		if strings.ContainsAny(line, "\r\n\x00") {
+			return nil, framing{}, errMalformed
+		}
+		if i == 0 {
+			continue
+		}
+		name, _, found := strings.Cut(line, ":")
+		if !found || name == "" || strings.ContainsAny(name, " \t") {
+			return nil, framing{}, errMalformed
+		}
+	}
+	f, err := parseFraming(lines[1:])
+	if err != nil {
+		return nil, framing{}, err
+	}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil {
+		return nil, framing{}, errors.Wrap(errMalformed, err.Error())
+	}
+	if r.ProtoMajor != 1 || strings.HasPrefix(lines[0], r.Method+"  ") {
+		return nil, framing{}, errMalformed
+	}
+	return r, f, nil
+}
+
+func parseFraming(fields []string) (framing, error) {
+	f := framing{}
+	lengths, encodings, hosts := 0, 0, 0
+	for _, line := range fields {
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
+		switch strings.ToLower(name) {
+		case "content-length":
+			lengths++
+			n, err := strconv.ParseUint(value, 10, 63)
+			if err != nil || strings.HasPrefix(value, "+") {
+				return f, errMalformed
+			}
+			f.length = int64(n)
+		case "transfer-encoding":
+			encodings++
+			if !strings.EqualFold(value, "chunked") {
+				return f, errMalformed
+			}
+			f.chunked = true
+		case "host":
+			hosts++
+		}
+	}
+	if lengths > 1 || encodings > 1 || lengths+encodings > 1 || hosts > 1 {
+		return f, errMalformed
+	}
+	return f, nil
+}
+
+// errBodyTooLarge is returned for a body above the limit.
+var errBodyTooLarge = errors.New("the request body is larger than the limit")
+
+// readBody reads the whole body and leaves the reader at the next request.
+func readBody(r *bufio.Reader, f framing, limit int64) ([]byte, error) {
+	if !f.chunked {
+		if f.length > limit {
+			return nil, errBodyTooLarge
+		}
+		if f.length == 0 {
+			return nil, nil
+		}
+		body := make([]byte, f.length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	return readChunks(r, limit)
+}
+
+// maxChunkLineBytes bounds a chunk's size line and each trailer line.
+const maxChunkLineBytes = 256
+
+func readChunks(r *bufio.Reader, limit int64) ([]byte, error) {
+	var body []byte
+	for {
+		line, err := readLine(r)
+		if err != nil {
+			return nil, err
+		}
+		digits, _, _ := strings.Cut(line, ";")
+		size, err := strconv.ParseUint(strings.TrimRight(digits, " \t"), 16, 32)
+		if err != nil {
+			return nil, errMalformed
+		}
+		if size == 0 {
+			return body, skipTrailers(r)
+		}
+		if int64(len(body))+int64(size) > limit {
+			return nil, errBodyTooLarge
+		}
+		start := len(body)
+		body = append(body, make([]byte, size)...)
+		if _, err := io.ReadFull(r, body[start:]); err != nil {
+			return nil, err
+		}
+		if line, err = readLine(r); err != nil {
+			return nil, err
+		}
+		if line != "" {
+			return nil, errMalformed
+		}
+	}
+}
+
+func skipTrailers(r *bufio.Reader) error {
+	for {
+		line, err := readLine(r)
+		if err != nil || line == "" {
+			return err
+		}
+	}
+}
+
+func readLine(r *bufio.Reader) (string, error) {
+	line, err := r.ReadSlice('\n')
+	if err != nil {
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return "", errMalformed
+		}
+		return "", err
+	}
+	if len(line) > maxChunkLineBytes || len(line) < 2 || line[len(line)-2] != '\r' {
+		return "", errMalformed
+	}
+	return string(line[:len(line)-2]), nil
+}
