Refuse generations that outlast the drain of their entry

Ruled out: waiting longer (the platform kills the process 0.4 s later). Change: while draining, a generation that is not expected to end in time is refused as not run, so its caller starts it elsewhere. Conclusion: generations that began before the signal are still cut.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,8 @@
 	started  time.Time
 
 	draining, closing atomic.Bool
+	// drainEnd is the reading of elapsed at which a drain is cut short.
+	drainEnd atomic.Int64
 	active            atomic.Int64
 
 	mu    sync.Mutex
@@ -202,6 +204,9 @@
 // Drain withdraws readiness at once, goes on to answer for notice, so that
 // balancers see it, and then waits until no request is left or ctx ends.
 func (g *Gateway) Drain(ctx context.Context, notice time.Duration, listener net.Listener) {
+	if deadline, ok := ctx.Deadline(); ok {
+		g.drainEnd.Store(int64(g.elapsed() + time.Until(deadline)))
+	}
 	g.draining.Store(true)
 	select {
 	case <-ctx.Done():
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -33,9 +33,9 @@
 	retryAfterShare  = 0.15
 	retryAfterSpread = 0.15
 	maxRetryAfter    = 2 * time.Second
-	// outputBlocksShare is the part of a generation's largest length that is
-	// reserved when the caller gives no hint.
-	outputBlocksShare = 0.5
+	// outputShare is the part of a generation's largest length that is expected
+	// when the caller gives no hint.
+	outputShare = 0.5
 )
 
 // exchange is one request on its way.
@@ -115,6 +115,11 @@
 		}
 	}
 	x.blocks = blocksNeeded(x.says)
+	if left := time.Duration(g.drainEnd.Load()) - g.elapsed(); g.draining.Load() && x.route.Kind == desired.Stream &&
+		!dispatch.FitsDrain(x.says.expectedTokens(), left) {
+		x.refuse("this entry stops before the generation would end", verdict.ReasonLeaving)
+		return false
+	}
 	return true
 }
 
@@ -129,12 +134,16 @@
 	return false
 }
 
-func blocksNeeded(says Request) int {
-	output := says.LengthHint
-	if output <= 0 {
-		output = int(float64(says.MaxTokens) * outputBlocksShare)
+// expectedTokens returns the length that the answer is expected to have.
+func (r Request) expectedTokens() int {
+	if r.LengthHint > 0 {
+		return r.LengthHint
 	}
-	return max(1, (says.PromptTokens+output)/blockTokens)
+	return int(float64(r.MaxTokens) * outputShare)
+}
+
+func blocksNeeded(says Request) int {
+	return max(1, (says.PromptTokens+says.expectedTokens())/blockTokens)
 }
 
 func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
