Move generations off engines that are told to leave

Change: package evacuate beside each backend server reads its state each 100 ms, copies generations while they run, stops them last, and tells entries where they went; core/evacuation plans the moves; entries go on with the same generation.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/failuredomain"
+	"arbutusmast.example/arbutusmast/evacuate"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/gateway"
 	"arbutusmast.example/arbutusmast/observe"
@@ -80,8 +81,8 @@
 		err = h.runEntry(ctx, s)
 	case platform.RoleControl:
 		err = h.runControl(ctx, s)
-	default:
-		err = errors.Errorf("role %q is not built yet", s.Role)
+	case platform.RoleAgent:
+		err = h.runAgent(ctx, s)
 	}
 	h.logger.Info("daemon stopped", zap.Error(err))
 	return err
@@ -151,7 +152,8 @@
 		Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Logger: h.logger})
 	g := gateway.New(gateway.Options{
 		Follower: follower, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
-		Regions: failuredomain.NewMap(s.Regions), LeaseLimit: time.Duration(float64(s.RevokeBound) * leaseShare),
+		Evacuator: &evacuate.Locator{Pool: h.pool, AgentBeside: s.AgentBeside},
+		Regions:   failuredomain.NewMap(s.Regions), LeaseLimit: time.Duration(float64(s.RevokeBound) * leaseShare),
 		RetryRatio: s.RetryRatio * retryRatioShare, RetrySlack: s.RetrySlack / retryShareEntries, RetryWindow: s.RetryWindow,
 		Logger: h.logger, Metrics: h.metrics,
 	})
@@ -217,3 +219,23 @@
 	go h.serve(&http.Server{Handler: platform.OperatorHandler(control, h.logger), ReadHeaderTimeout: readHeaderTimeout}, operators)
 	return control.Run(ctx)
 }
+
+func (h *hosted) runAgent(ctx context.Context, s *platform.Settings) error {
+	peers, err := net.Listen("tcp", s.AgentAddress())
+	if err != nil {
+		return errors.Wrap(err, "listen for entries")
+	}
+	server := wire.NewServer(peers)
+	follower := fleet.NewFollower(fleet.FollowerOptions{Seeds: h.seeds, Codec: platform.Codec{}, Pool: h.pool, Logger: h.logger})
+	agent, err := evacuate.New(evacuate.Options{
+		Address: s.ServerAddress, Service: s.Service, FailureDomain: s.FailureDomain,
+		Engine: platform.NewReplica(s.ServerAddress), Follower: follower, Pool: h.pool, Logger: h.logger,
+	}, server)
+	if err != nil {
+		return err
+	}
+	go server.Serve()
+	go follower.Run(ctx)
+	agent.Run(ctx)
+	return nil
+}
--- /dev/null
+++ b/evacuate/evacuate.go
@@ -0,0 +1,312 @@
+// Package evacuate runs beside a backend server: it reports the server's load
+// and moves its generations away when the server is told to leave.
+package evacuate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/evacuation"
+	"arbutusmast.example/arbutusmast/fleet"
+	"arbutusmast.example/arbutusmast/wire"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// ServiceName is the net/rpc service that entries ask for whereabouts.
+const ServiceName = "Evacuation"
+
+const (
+	// statusInterval is the pause between looks at the server, which costs
+	// nothing on its own host; the notice is one to two seconds.
+	statusInterval = 100 * time.Millisecond
+	statusTimeout  = 500 * time.Millisecond
+	// reportInterval is the pause between reports of a load.
+	reportInterval = 500 * time.Millisecond
+	reportTimeout  = 500 * time.Millisecond
+	// unknownNotice is assumed when the server does not say how long it stays.
+	unknownNotice = 1500 * time.Millisecond
+	// moveReserve is kept between the last move and the end of the server.
+	moveReserve = 100 * time.Millisecond
+	// concurrentMoves keeps the link busy while a finished copy is stopped.
+	concurrentMoves = 2
+	// whereaboutsWait bounds how long an entry is kept waiting for a move.
+	whereaboutsWait = 800 * time.Millisecond
+	// keepMoved is how long whereabouts are kept, longer than a copy lives.
+	keepMoved = 10 * time.Second
+)
+
+// ErrNoRun tells that a generation has ended.
+var ErrNoRun = errors.New("the server runs no such generation")
+
+// Status is what a server says of itself.
+type Status struct {
+	Leaving     bool
+	LeavesIn    time.Duration
+	LeavesKnown bool
+	Load        backend.Load
+	Runs        []evacuation.Run
+}
+
+// Copy is the memory of a generation at another server.
+type Copy struct {
+	Name   string
+	Events int
+}
+
+// Engine is the backend server on this host.
+type Engine interface {
+	Status(ctx context.Context) (Status, error)
+	// Move copies the memory of a generation to another server, and stops it
+	// first when stop is set.
+	Move(ctx context.Context, run, target string, stop bool) (Copy, error)
+}
+
+// Options holds the parameters of an Agent.
+type Options struct {
+	// Address is the server's, Service its service.
+	Address, Service, FailureDomain string
+	Engine                          Engine
+	Follower                        *fleet.Follower
+	Pool                            *wire.Pool
+	Logger                          *zap.Logger
+}
+
+// place is where a generation went.
+type place struct {
+	address, copy string
+	done          chan struct{}
+	at            time.Time
+}
+
+// Agent is the process beside one server.
+type Agent struct {
+	options  Options
+	mu       sync.Mutex
+	places   map[string]*place
+	previous map[string]bool
+	reported backend.Report
+	lastSent time.Time
+	slots    chan struct{}
+}
+
+// New returns an Agent and registers its service.
+func New(options Options, server *wire.Server) (*Agent, error) {
+	a := &Agent{options: options, places: map[string]*place{}, previous: map[string]bool{}, slots: make(chan struct{}, concurrentMoves)}
+	return a, errors.Wrap(server.Register(ServiceName, &service{a}), "register the evacuation service")
+}
+
+// Run watches the server until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	down := false
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+		status, err := a.options.Engine.Status(callCtx)
+		cancel()
+		if (err != nil) != down {
+			down = err != nil
+			a.options.Logger.Info("contact with the backend server changed", zap.Bool("answers", !down), zap.Error(err))
+		}
+		if err == nil {
+			a.report(ctx, status)
+			a.look(ctx, status)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// report tells the control group what the server says, a notice at once.
+func (a *Agent) report(ctx context.Context, s Status) {
+	r := backend.Report{Address: a.options.Address, Leaving: s.Leaving, Load: s.Load}
+	if r.Leaving == a.reported.Leaving && time.Since(a.lastSent) < reportInterval {
+		return
+	}
+	if r.Leaving != a.reported.Leaving {
+		a.options.Logger.Info("notice of the backend server changed", zap.Bool("leaving", r.Leaving),
+			zap.Duration("leaves_in_seconds", s.LeavesIn), zap.Int("runs", len(s.Runs)))
+	}
+	a.reported, a.lastSent = r, time.Now()
+	leader := a.options.Follower.View().Leader
+	if leader == "" {
+		return
+	}
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		var reply fleet.ReportReply
+		if err := a.options.Pool.Call(callCtx, leader, fleet.ServiceName+".Report", &fleet.ReportRequest{Report: r}, &reply); err != nil {
+			a.options.Logger.Info("report not delivered", zap.String("leader", leader), zap.Error(err))
+		}
+	}()
+}
+
+// look starts moves when the server leaves. Generations that were not there at
+// the look before are left alone once, because many are over within that time.
+func (a *Agent) look(ctx context.Context, s Status) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, p := range a.places {
+		if now.Sub(p.at) > keepMoved {
+			delete(a.places, id)
+		}
+	}
+	var runs []evacuation.Run
+	present := map[string]bool{}
+	for _, run := range s.Runs {
+		present[run.ID] = true
+		if a.places[run.ID] == nil && a.previous[run.ID] {
+			runs = append(runs, run)
+		}
+	}
+	a.previous = present
+	if !s.Leaving || len(runs) == 0 {
+		return
+	}
+	left := unknownNotice
+	if s.LeavesKnown {
+		left = s.LeavesIn
+	}
+	end := now.Add(left)
+	for _, move := range evacuation.Plan(runs, a.destinations(), a.link(), left-moveReserve) {
+		p := &place{done: make(chan struct{}), at: now}
+		a.places[move.Run.ID] = p
+		go a.move(ctx, move, p, end)
+	}
+}
+
+// destinations returns the servers that could take generations. Only the own
+// failure domain is used: bytes between failure domains are dear, and one
+// generation takes half a gigabyte.
+func (a *Agent) destinations() []evacuation.Destination {
+	var list []evacuation.Destination
+	v := a.options.Follower.View()
+	for _, server := range v.Servers {
+		if server.Service != a.options.Service || server.Leaving || server.Address == a.options.Address || server.FailureDomain != a.options.FailureDomain {
+			continue
+		}
+		d := evacuation.Destination{Address: server.Address, SameDomain: true, FreeSlots: server.Slots, FreeTokens: a.memory(v)}
+		if report, ok := v.Reports[server.Address]; ok && report.Load.TotalTokens > 0 {
+			d.FreeSlots -= report.Load.Running
+			d.FreeTokens = report.Load.TotalTokens - report.Load.UsedTokens
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
+// memory returns the declared memory of a server.
+func (a *Agent) memory(v *fleet.View) int {
+	if v.Table == nil {
+		return 0
+	}
+	if s := v.Table.Service(a.options.Service); s != nil && s.Engine != nil {
+		return s.Engine.MemoryTokens
+	}
+	return 0
+}
+
+func (a *Agent) link() evacuation.Link {
+	v := a.options.Follower.View()
+	if v.Table != nil {
+		if s := v.Table.Service(a.options.Service); s != nil && s.Engine != nil {
+			return evacuation.Link{BytesPerToken: s.Engine.BytesPerToken, Mbps: s.Engine.LinkMbps}
+		}
+	}
+	return evacuation.Link{}
+}
+
+// move copies a generation while it runs, and then stops it with little left to
+// copy, so that its caller sees a pause of milliseconds.
+func (a *Agent) move(ctx context.Context, m evacuation.Move, p *place, end time.Time) {
+	defer close(p.done)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	select {
+	case a.slots <- struct{}{}:
+		defer func() { <-a.slots }()
+	case <-ctx.Done():
+		return
+	}
+	logger := a.options.Logger.With(zap.String("request_id", m.Run.ID), zap.String("destination", m.Destination), zap.Int("tokens", m.Run.Tokens))
+	began := time.Now()
+	_, err := a.options.Engine.Move(ctx, m.Run.ID, m.Destination, false)
+	copied := time.Now()
+	var c Copy
+	if err == nil {
+		c, err = a.options.Engine.Move(ctx, m.Run.ID, m.Destination, true)
+	}
+	if err == nil || c.Name != "" {
+		a.mu.Lock()
+		p.address, p.copy = m.Destination, c.Name
+		if err != nil {
+			// The source keeps the memory of a run that it stopped in vain.
+			p.address = a.options.Address
+		}
+		a.mu.Unlock()
+	}
+	logger.Info("generation moved", zap.Duration("copy_seconds", copied.Sub(began)), zap.Duration("stop_seconds", time.Since(copied)),
+		zap.Int("events", c.Events), zap.Duration("left_seconds", time.Until(end)), zap.Error(err))
+}
+
+// WhereaboutsRequest asks where a generation went.
+type WhereaboutsRequest struct{ Run string }
+
+// WhereaboutsReply names the server and the copy, if there is one.
+type WhereaboutsReply struct {
+	Found         bool
+	Address, Copy string
+}
+
+type service struct{ agent *Agent }
+
+// Whereabouts answers once a move that is under way has ended.
+func (s *service) Whereabouts(request *WhereaboutsRequest, reply *WhereaboutsReply) error {
+	a := s.agent
+	a.mu.Lock()
+	p := a.places[request.Run]
+	a.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	timer := time.NewTimer(whereaboutsWait)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+	case <-timer.C:
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply.Found, reply.Address, reply.Copy = p.copy != "", p.address, p.copy
+	return nil
+}
+
+// Locator asks the agents beside servers. It implements gateway.Evacuator.
+type Locator struct {
+	Pool *wire.Pool
+	// AgentBeside returns the address of the agent beside a server.
+	AgentBeside func(server string) string
+}
+
+// Whereabouts implements gateway.Evacuator.
+func (l *Locator) Whereabouts(ctx context.Context, server backend.Server, run string) (address, name string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, whereaboutsWait+reportTimeout)
+	defer cancel()
+	var reply WhereaboutsReply
+	if err := l.Pool.Call(ctx, l.AgentBeside(server.Address), ServiceName+".Whereabouts", &WhereaboutsRequest{Run: run}, &reply); err != nil {
+		return "", "", err
+	}
+	if !reply.Found {
+		return "", "", ErrNoRun
+	}
+	return reply.Address, reply.Copy, nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,8 +84,9 @@
 
 // Evacuator tells where a generation goes on that stopped at a server.
 type Evacuator interface {
-	// Whereabouts returns the server that holds the memory of a run.
-	Whereabouts(ctx context.Context, server backend.Server, run string) (address, copy string, ok bool)
+	// Whereabouts returns the address that holds the memory of a run, and the
+	// name of the copy there.
+	Whereabouts(ctx context.Context, server backend.Server, run string) (address, name string, err error)
 }
 
 // Options holds the parameters of a Gateway.
@@ -119,7 +120,7 @@
 	draining, closing atomic.Bool
 	// drainEnd is the reading of elapsed at which a drain is cut short.
 	drainEnd atomic.Int64
-	active            atomic.Int64
+	active   atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/placement"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -67,36 +68,93 @@
 	}
 }
 
+// maxResumes bounds how often one generation goes on elsewhere.
+const maxResumes = 8
+
 // stream passes the events of a response on as they come. When the server goes
 // away in the middle, the same generation may go on at another one.
 func (x *exchange) stream(ctx context.Context, u *upstream) {
 	release := context.AfterFunc(ctx, func() { _ = x.rep.conn.SetWriteDeadline(time.Unix(1, 0)) })
 	defer release()
-	defer x.settle(u.server.ID, placement.Completed)
+	x.g.metrics.firstByte.Record(time.Since(x.r.arrived))
 	x.rep.start(u.response.StatusCode, endToEnd(u.response.Header), -1)
 	if err := x.rep.out.Flush(); err != nil {
+		x.settle(u.server.ID, placement.Canceled)
 		x.gone(err)
 		return
 	}
 	events := &eventReader{in: u.response.Body}
-	for {
-		whole, err := events.next()
-		if err == nil {
-			if err := x.rep.write(whole); err != nil {
-				x.gone(err)
-				return
-			}
-			continue
-		}
-		if errors.Is(err, io.EOF) {
+	for resumes := 0; ; resumes++ {
+		sent, err := x.pass(events)
+		switch {
+		case !sent:
+			x.settle(u.server.ID, placement.Canceled)
+			x.gone(err)
+			return
+		case errors.Is(err, io.EOF):
+			x.settle(u.server.ID, placement.Completed)
 			if err := x.rep.end(); err != nil {
 				x.gone(err)
 			}
 			return
 		}
-		x.broken(ctx, u, events, err)
-		return
+		x.settle(u.server.ID, placement.Canceled)
+		next, resumeErr := x.resume(ctx, u, events, resumes)
+		x.logBreak(ctx, u, events, err, resumeErr)
+		if resumeErr != nil {
+			x.g.metrics.aborted.Add(1)
+			x.rep.abort()
+			return
+		}
+		x.g.metrics.resumed.Add(1)
+		u.close()
+		defer next.close()
+		u = next
+		events = &eventReader{in: u.response.Body, lastID: events.lastID, events: events.events}
+	}
+}
+
+// pass passes events on until the stream ends. Sent is false when the caller
+// did not take them.
+func (x *exchange) pass(events *eventReader) (sent bool, err error) {
+	for {
+		whole, err := events.next()
+		if err != nil {
+			return true, err
+		}
+		if err := x.rep.write(whole); err != nil {
+			return false, err
+		}
+	}
+}
+
+// resume continues the generation from the memory that was moved away.
+func (x *exchange) resume(ctx context.Context, u *upstream, events *eventReader, resumes int) (*upstream, error) {
+	if x.g.options.Evacuator == nil || resumes >= maxResumes {
+		return nil, errors.New("the generation can not go on elsewhere")
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	address, name, err := x.g.options.Evacuator.Whereabouts(ctx, u.server, x.says.ID)
+	if err != nil {
+		return nil, err
+	}
+	server, ok := x.g.services.byAddress(address)
+	if !ok {
+		return nil, errors.Errorf("no server is known at %s", address)
 	}
+	f := x.forward(server)
+	f.Copy, f.LastEventID = name, events.lastID
+	next, result, err := x.g.send(ctx, server, x.r, f)
+	if err != nil {
+		return nil, err
+	}
+	if result != dispatch.Answered {
+		next.close()
+		return nil, errors.Errorf("the server with the copy answered %d", next.response.StatusCode)
+	}
+	return next, nil
 }
 
 // settle tells placement that a stream ended.
@@ -110,10 +168,8 @@
 	x.rep.abort()
 }
 
-// broken ends a stream that its server broke off.
-func (x *exchange) broken(ctx context.Context, u *upstream, events *eventReader, err error) {
-	x.g.metrics.aborted.Add(1)
-	x.logger.Info("stream broken off", zap.String("backend_server", u.server.ID), zap.Int("events", events.events),
-		zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil), zap.Error(err))
-	x.rep.abort()
+func (x *exchange) logBreak(ctx context.Context, u *upstream, events *eventReader, err, resumeErr error) {
+	x.logger.Info("stream broken off by its server", zap.String("backend_server", u.server.ID), zap.Int("events", events.events),
+		zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil), zap.NamedError("cause", err),
+		zap.Bool("resumed", resumeErr == nil), zap.NamedError("resume_error", resumeErr))
 }
