Spread generations over failure domains before engines are half full

Change: generations spill to other domains from a fifth of the memory on; moves go to another domain when the own one has no room.

--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -195,18 +195,16 @@
 	}
 }
 
-// destinations returns the servers that could take generations. Only the own
-// failure domain is used: bytes between failure domains are dear, and one
-// generation takes half a gigabyte.
+// destinations returns the servers that could take generations.
 func (a *Agent) destinations() []evacuation.Destination {
 	var list []evacuation.Destination
 	v := a.options.Follower.View()
 	for _, server := range v.Servers {
-		if server.Service != a.options.Service || server.Leaving || server.Address == a.options.Address || server.FailureDomain != a.options.FailureDomain ||
+		if server.Service != a.options.Service || server.Leaving || server.Address == a.options.Address ||
 			time.Since(a.refused[server.Address]) < refusedLife {
 			continue
 		}
-		d := evacuation.Destination{Address: server.Address, SameDomain: true, FreeSlots: server.Slots, FreeTokens: a.memory(v)}
+		d := evacuation.Destination{Address: server.Address, SameDomain: server.FailureDomain == a.options.FailureDomain, FreeSlots: server.Slots, FreeTokens: a.memory(v)}
 		if report, ok := v.Reports[server.Address]; ok && report.Load.TotalTokens > 0 {
 			d.FreeSlots -= report.Load.Running
 			d.FreeTokens = report.Load.TotalTokens - report.Load.UsedTokens
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -21,6 +21,13 @@
 	// goneLife is how long a server that answered as another one is avoided. The
 	// list shows the change within its lag.
 	goneLife = 3 * time.Second
+	// engineSpill is the used share of memory from which generations also go to
+	// other failure domains. It is low, because a reclaimed engine can move only
+	// some five generations away within its notice.
+	engineSpill = 0.2
+	plainSpill  = 0.6
+	// choices is the number of servers compared; domains have three or four.
+	choices = 8
 	// slowStart is the time over which a new server reaches its full share.
 	slowStart = time.Second
 )
@@ -52,8 +59,12 @@
 func (s *serviceSet) get(name string) *service {
 	svc := s.byName[name]
 	if svc == nil {
+		spill := plainSpill
+		if t := s.options.Follower.View().Table; t != nil && t.Service(name) != nil && t.Service(name).Engine != nil {
+			spill = engineSpill
+		}
 		svc = &service{
-			place: placement.New(placement.Config{Entry: s.options.Name, SlowStart: slowStart},
+			place: placement.New(placement.Config{Entry: s.options.Name, SlowStart: slowStart, SpillScore: spill, Choices: choices},
 				rand.New(rand.NewSource(time.Now().UnixNano()))),
 			budget: retry.NewBudget(s.options.RetryRatio, s.options.RetrySlack, s.options.RetryWindow),
 		}
