--- a/cmd/arbutusmast/main.go
+++ b/cmd/arbutusmast/main.go
@@ -74,12 +74,13 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
-	logger, err := observe.NewLogger(os.Stdout, "info")
+	pipe := observe.NewPipe(os.Stdout)
+	defer pipe.Close()
+	logger, err := observe.NewLogger(pipe, "info")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	defer func() { _ = logger.Sync() }()
 	if err := daemon.RunOnPlatform(path, logger); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,42 @@
+package retry
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// Guards against more retries in some window than the bound on it, wherever the
+// window begins.
+func TestBudgetHoldsInEachWindow(t *testing.T) {
+	const ratio, slack, window = 0.2, 5, 10 * time.Second
+	rng := rand.New(rand.NewSource(1))
+	b := NewBudget(ratio, slack, window)
+	var requests, retries []time.Duration
+	for now := time.Duration(0); now < 2*time.Minute; now += 20 * time.Millisecond {
+		if now%(30*time.Second) < 12*time.Second || rng.Float64() < 0.1 {
+			b.Request(now)
+			requests = append(requests, now)
+		}
+		if b.Retry(now) {
+			retries = append(retries, now)
+		}
+	}
+	count := func(list []time.Duration, from, to time.Duration) (n float64) {
+		for _, at := range list {
+			if at >= from && at < to {
+				n++
+			}
+		}
+		return n
+	}
+	for from := time.Duration(0); from < 2*time.Minute; from += 100 * time.Millisecond {
+		most := max(count(requests, from, from+window), count(requests, from-window, from), count(requests, from-window/2, from+window/2))
+		if got := count(retries, from, from+window); got > ratio*most+2*slack {
+			t.Errorf("%v retries from %v on for %v requests", got, from, most)
+		}
+	}
+	if len(retries) == 0 {
+		t.Error("no retry was allowed")
+	}
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -151,7 +151,7 @@
 	follower := fleet.NewFollower(fleet.FollowerOptions{Seeds: h.seeds, Codec: platform.Codec{},
 		Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Logger: h.logger})
 	g := gateway.New(gateway.Options{
-		Follower: follower, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
+		Fleet: follower, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
 		Evacuator: &evacuate.Locator{Pool: h.pool, AgentBeside: s.AgentBeside},
 		Regions:   failuredomain.NewMap(s.Regions), LeaseLimit: time.Duration(float64(s.RevokeBound) * leaseShare),
 		RetryRatio: s.RetryRatio * retryRatioShare, RetrySlack: s.RetrySlack / retryShareEntries, RetryWindow: s.RetryWindow,
@@ -229,7 +229,7 @@
 	follower := fleet.NewFollower(fleet.FollowerOptions{Seeds: h.seeds, Codec: platform.Codec{}, Pool: h.pool, Logger: h.logger})
 	agent, err := evacuate.New(evacuate.Options{
 		Address: s.ServerAddress, Service: s.Service, FailureDomain: s.FailureDomain,
-		Engine: platform.NewReplica(s.ServerAddress), Follower: follower, Pool: h.pool, Logger: h.logger,
+		Engine: platform.NewReplica(s.ServerAddress), Fleet: follower, Pool: h.pool, Logger: h.logger,
 	}, server)
 	if err != nil {
 		return err
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -74,12 +74,15 @@
 	Move(ctx context.Context, run, target string, stop bool) (Copy, error)
 }
 
+// Fleet is the daemon's copy of the fleet's state.
+type Fleet interface{ View() *fleet.View }
+
 // Options holds the parameters of an Agent.
 type Options struct {
 	// Address is the server's, Service its service.
 	Address, Service, FailureDomain string
 	Engine                          Engine
-	Follower                        *fleet.Follower
+	Fleet                           Fleet
 	Pool                            *wire.Pool
 	Logger                          *zap.Logger
 }
@@ -146,7 +149,7 @@
 			zap.Duration("leaves_in_seconds", s.LeavesIn), zap.Int("runs", len(s.Runs)))
 	}
 	a.reported, a.lastSent = r, time.Now()
-	leader := a.options.Follower.View().Leader
+	leader := a.options.Fleet.View().Leader
 	if leader == "" {
 		return
 	}
@@ -198,7 +201,7 @@
 // destinations returns the servers that could take generations.
 func (a *Agent) destinations() []evacuation.Destination {
 	var list []evacuation.Destination
-	v := a.options.Follower.View()
+	v := a.options.Fleet.View()
 	for _, server := range v.Servers {
 		if server.Service != a.options.Service || server.Leaving || server.Address == a.options.Address ||
 			time.Since(a.refused[server.Address]) < refusedLife {
@@ -226,7 +229,7 @@
 }
 
 func (a *Agent) link() evacuation.Link {
-	v := a.options.Follower.View()
+	v := a.options.Fleet.View()
 	if v.Table != nil {
 		if s := v.Table.Service(a.options.Service); s != nil && s.Engine != nil {
 			return evacuation.Link{BytesPerToken: s.Engine.BytesPerToken, Mbps: s.Engine.LinkMbps}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,390 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/wire"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// testCodec reads documents like {"version": 3, "note": "x"}.
+type testCodec struct{}
+
+type testDocument struct {
+	Version uint64
+	Note    string
+	Invalid bool
+}
+
+func (testCodec) Decode(document []byte) (*desired.State, error) {
+	var d testDocument
+	if err := json.Unmarshal(document, &d); err != nil {
+		return nil, err
+	}
+	s := &desired.State{Version: d.Version}
+	if d.Invalid {
+		s.Routes = []desired.Route{{Name: d.Note}}
+	}
+	return s, nil
+}
+
+func document(version uint64, note string) []byte {
+	data, err := json.Marshal(testDocument{Version: version, Note: note})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// testDirectory is a platform's list.
+type testDirectory struct {
+	mu      sync.Mutex
+	servers []backend.Server
+	calls   int
+}
+
+func (d *testDirectory) List(context.Context) ([]backend.Server, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls++
+	return append([]backend.Server(nil), d.servers...), nil
+}
+
+// testGroup is a control group on the loopback interface.
+type testGroup struct {
+	t         *testing.T
+	seeds     []string
+	directory *testDirectory
+	members   map[string]*testMember
+}
+
+type testMember struct {
+	*Control
+	folder string
+	stop   context.CancelFunc
+	server *wire.Server
+	pool   *wire.Pool
+	done   chan struct{}
+}
+
+func newGroup(t *testing.T, seeds int) *testGroup {
+	g := &testGroup{t: t, directory: &testDirectory{servers: []backend.Server{{ID: "i-1", Address: "10.0.0.1:1"}}}, members: map[string]*testMember{}}
+	for i := 0; i < seeds; i++ {
+		g.seeds = append(g.seeds, freeAddress(t))
+	}
+	return g
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts a member, with the disk that it had or an empty one.
+func (g *testGroup) start(address string, first bool) *testMember {
+	g.t.Helper()
+	folder := filepath.Join(g.t.TempDir(), "data")
+	if old := g.members[address]; old != nil {
+		folder = old.folder
+	}
+	var l net.Listener
+	var err error
+	for i := 0; i < 100; i++ {
+		if l, err = net.Listen("tcp", address); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	m := &testMember{folder: folder, server: wire.NewServer(l), pool: wire.NewPool(nil), done: make(chan struct{})}
+	m.Control, err = NewControl(ControlOptions{Address: address, DataFolder: folder, Seeds: func() []string { return g.seeds }, Bootstrap: first,
+		Tolerance: 1, Codec: testCodec{}, Directory: g.directory, Pool: m.pool, Dial: wire.DialTCP, Server: m.server, Logger: zap.NewNop()})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go m.server.Serve()
+	go func() {
+		defer close(m.done)
+		if err := m.Run(ctx); err != nil {
+			g.t.Logf("member %s ended: %v", address, err)
+		}
+	}()
+	g.members[address] = m
+	g.t.Cleanup(func() { g.kill(address) })
+	return m
+}
+
+// kill ends a member without notice.
+func (g *testGroup) kill(address string) {
+	m := g.members[address]
+	m.stop()
+	m.server.Close()
+	m.pool.Close()
+	<-m.done
+}
+
+func (g *testGroup) follower(t *testing.T) *Follower {
+	pool := wire.NewPool(nil)
+	f := NewFollower(FollowerOptions{Seeds: func() []string { return g.seeds }, Codec: testCodec{}, Pool: pool, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx)
+	t.Cleanup(func() { cancel(); pool.Close() })
+	return f
+}
+
+// eventually waits for a condition. The bound only ends a test that hangs.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func (m *testMember) put(t *testing.T, d []byte) {
+	t.Helper()
+	eventually(t, "the document is acknowledged", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := m.Put(ctx, d)
+		return err == nil
+	})
+}
+
+// get returns the newest document once the member is sure.
+func (m *testMember) get(t *testing.T) string {
+	t.Helper()
+	var got []byte
+	eventually(t, "the document is read", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var err error
+		got, err = m.Get(ctx)
+		return err == nil
+	})
+	return string(got)
+}
+
+// Guards against a group that does not form by itself, a state that is not in
+// force on all daemons, goes back, or is replaced under its own version.
+func TestGroupFormsAndSpreads(t *testing.T) {
+	g := newGroup(t, 3)
+	f := g.follower(t)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	late := g.start(freeAddress(t), true)
+	first := g.members[g.seeds[0]]
+	first.put(t, document(5, "five"))
+	for _, m := range g.members {
+		if got := m.get(t); got != string(document(5, "five")) {
+			t.Errorf("read %s", got)
+		}
+	}
+	late.put(t, document(5, "other five"))
+	late.put(t, document(4, "four"))
+	first.put(t, document(5, "five"))
+	if got := late.get(t); got != string(document(5, "five")) {
+		t.Errorf("in force: %s", got)
+	}
+	if _, err := first.Put(context.Background(), []byte(`{"Version": 6, "Invalid": true}`)); !errors.Is(err, ErrInvalid) {
+		t.Errorf("an invalid state: %v", err)
+	}
+	eventually(t, "the daemon follows", func() bool { return f.View().Version == 5 && len(f.View().Members) == 4 })
+	eventually(t, "the daemon has the list", func() bool { return len(f.View().Servers) == 1 })
+	if age, ok := f.ConfirmedAge(); !ok || age < 0 {
+		t.Errorf("confirmed %v ago, %v", age, ok)
+	}
+}
+
+// Guards against a notice seen beside a backend server that waits for the
+// platform's list.
+func TestReportReachesDaemons(t *testing.T) {
+	g := newGroup(t, 1)
+	m := g.start(g.seeds[0], true)
+	f := g.follower(t)
+	m.put(t, document(1, "one"))
+	eventually(t, "the daemon has the list", func() bool { return len(f.View().Servers) == 1 && f.View().Leader != "" })
+	pool := wire.NewPool(nil)
+	defer pool.Close()
+	report := &ReportRequest{Report: backend.Report{Address: "10.0.0.1:1", Leaving: true}}
+	if err := pool.Call(context.Background(), f.View().Leader, ServiceName+".Report", report, &ReportReply{}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the daemon sees the notice", func() bool { return f.View().Servers[0].Leaving })
+}
+
+// Guards against acknowledged states that are lost or older after all members
+// were killed at one moment.
+func TestWholeGroupRestarts(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	for v := uint64(1); v <= 20; v++ {
+		g.members[g.seeds[v%3]].put(t, document(v, fmt.Sprint("note ", v)))
+	}
+	for _, address := range g.seeds {
+		g.kill(address)
+	}
+	for _, address := range g.seeds {
+		g.start(address, false)
+	}
+	for _, m := range g.members {
+		if got := m.get(t); got != string(document(20, "note 20")) {
+			t.Errorf("read %s", got)
+		}
+	}
+}
+
+// Guards against a member that votes without what it once acknowledged: one that
+// lost its disk, and one at a new address, join as new members, twice in a row.
+func TestLostDisksAndReplacements(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	lost := g.seeds[1]
+	for round := uint64(1); round <= 2; round++ {
+		g.members[g.seeds[0]].put(t, document(round, "before"))
+		g.kill(lost)
+		if err := os.RemoveAll(g.members[lost].folder); err != nil {
+			t.Fatal(err)
+		}
+		m := g.start(lost, false)
+		if got := m.get(t); got != string(document(round, "before")) {
+			t.Errorf("round %d: read %s", round, got)
+		}
+		eventually(t, "the member votes under a new id", func() bool {
+			node := m.node.Load()
+			if node == nil {
+				return false
+			}
+			voters := 0
+			for _, member := range node.Members() {
+				if !member.Learner {
+					voters++
+				}
+			}
+			return voters == 3 && !node.Status().Learning
+		})
+	}
+	// The leader's host goes for good and an empty one comes at another address.
+	var gone string
+	eventually(t, "a member leads", func() bool {
+		for address, m := range g.members {
+			if m.leads() {
+				gone = address
+				return true
+			}
+		}
+		return false
+	})
+	g.kill(gone)
+	added := g.start(freeAddress(t), false)
+	if got := added.get(t); got != string(document(2, "before")) {
+		t.Errorf("read %s", got)
+	}
+	eventually(t, "the lost member is removed", func() bool {
+		for _, member := range added.node.Load().Members() {
+			if member.Address == gone {
+				return false
+			}
+		}
+		return true
+	})
+	added.put(t, document(3, "after"))
+}
+
+// Guards against a read of an old state on a member that the others do not
+// reach, and against a lease that it would renew.
+func TestMemberWithoutQuorumIsNotSure(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	left := g.members[g.seeds[0]]
+	left.put(t, document(1, "one"))
+	left.get(t)
+	g.kill(g.seeds[1])
+	g.kill(g.seeds[2])
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	if got, err := left.Get(ctx); err == nil {
+		t.Errorf("read %s without a quorum", got)
+	}
+	f := g.follower(t)
+	eventually(t, "the daemon has the state", func() bool { return f.View().Table != nil })
+	before, _ := f.ConfirmedAge()
+	time.Sleep(500 * time.Millisecond)
+	if after, ok := f.ConfirmedAge(); ok && after < before+300*time.Millisecond {
+		t.Errorf("the lease was renewed without a quorum: age %v, then %v", before, after)
+	}
+}
+
+// Guards against a lease that starts when a reply arrives: a reply that was
+// under way for long confirms the past only.
+func TestLeaseBeginsWhenTheQuorumConfirmed(t *testing.T) {
+	packed, err := pack(document(1, "one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := NewFollower(FollowerOptions{Codec: testCodec{}, Logger: zap.NewNop()})
+	sent := Elapsed() - 10*time.Second
+	reply := &WatchReply{Version: 1, Document: packed, Confirmed: true, ConfirmedAge: 300 * time.Millisecond, Held: 100 * time.Millisecond}
+	if err := f.take(reply, sent); err != nil {
+		t.Fatal(err)
+	}
+	if age, ok := f.ConfirmedAge(); !ok || age < 10*time.Second {
+		t.Errorf("confirmed %v ago, want 10.2 s", age)
+	}
+	// An older state that arrives late changes nothing.
+	newer := *f.View()
+	newer.Version = 7
+	f.view.Store(&newer)
+	if err := f.take(&WatchReply{Version: 1, Document: packed}, Elapsed()); err != nil || f.View().Version != 7 {
+		t.Errorf("version %d after an older reply, %v", f.View().Version, err)
+	}
+}
+
+// Guards against a folder that is taken for a member's after an interrupted
+// write or removal of the identity.
+func TestIdentity(t *testing.T) {
+	folder := t.TempDir()
+	if id, err := loadIdentity(folder); id != nil || err != nil {
+		t.Errorf("an empty folder has identity %v, %v", id, err)
+	}
+	if err := (&identity{ID: 7}).save(folder); err != nil {
+		t.Fatal(err)
+	}
+	if id, err := loadIdentity(folder); err != nil || id.ID != 7 {
+		t.Errorf("identity %v, %v", id, err)
+	}
+	if err := discard(folder); err != nil {
+		t.Fatal(err)
+	}
+	if id, err := loadIdentity(folder); id != nil || err != nil {
+		t.Errorf("a discarded folder has identity %v, %v", id, err)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,10 +89,19 @@
 	Whereabouts(ctx context.Context, server backend.Server, run string) (address, name string, err error)
 }
 
+// Fleet is the daemon's copy of the fleet's state.
+type Fleet interface {
+	View() *fleet.View
+	OnChange(func(*fleet.View))
+	// ConfirmedAge returns how long ago at most the control group confirmed that
+	// nothing newer was in force.
+	ConfirmedAge() (time.Duration, bool)
+}
+
 // Options holds the parameters of a Gateway.
 type Options struct {
-	Follower *fleet.Follower
-	Dialect  Dialect
+	Fleet   Fleet
+	Dialect Dialect
 	// Evacuator may be nil.
 	Evacuator     Evacuator
 	Name          string
@@ -133,14 +142,14 @@
 		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
 	g.metrics = newMetrics(options.Metrics)
 	g.services.init(&options)
-	options.Follower.OnChange(func(v *fleet.View) { g.services.update(g.elapsed(), v) })
-	g.services.update(0, options.Follower.View())
+	options.Fleet.OnChange(func(v *fleet.View) { g.services.update(g.elapsed(), v) })
+	g.services.update(0, options.Fleet.View())
 	return g
 }
 
 func (g *Gateway) elapsed() time.Duration { return time.Since(g.started) }
 
-func (g *Gateway) table() *desired.Table { return g.options.Follower.View().Table }
+func (g *Gateway) table() *desired.Table { return g.options.Fleet.View().Table }
 
 // draw returns a uniform number in [0, 1).
 func (g *Gateway) draw() float64 {
@@ -161,7 +170,7 @@
 	if g.table() == nil {
 		return false, "no desired state is known"
 	}
-	if age, ok := g.options.Follower.ConfirmedAge(); !ok || g.options.LeaseLimit > 0 && age > readyLease {
+	if age, ok := g.options.Fleet.ConfirmedAge(); !ok || g.options.LeaseLimit > 0 && age > readyLease {
 		return false, "the control group was not reached lately"
 	}
 	return true, ""
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,462 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/failuredomain"
+	"arbutusmast.example/arbutusmast/fleet"
+	"arbutusmast.example/arbutusmast/observe"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// testFleet is a fixed copy of a fleet's state.
+type testFleet struct {
+	mu        sync.Mutex
+	view      *fleet.View
+	age       time.Duration
+	confirmed bool
+	listeners []func(*fleet.View)
+}
+
+func (f *testFleet) View() *fleet.View { f.mu.Lock(); defer f.mu.Unlock(); return f.view }
+func (f *testFleet) OnChange(l func(*fleet.View)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listeners = append(f.listeners, l)
+}
+func (f *testFleet) ConfirmedAge() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age, f.confirmed
+}
+func (f *testFleet) set(change func(*testFleet)) {
+	f.mu.Lock()
+	change(f)
+	view, listeners := f.view, f.listeners
+	f.mu.Unlock()
+	for _, l := range listeners {
+		l(view)
+	}
+}
+
+// testDialect is a dialect with header names of its own.
+type testDialect struct{}
+
+func (testDialect) ReadRequest(h http.Header) Request {
+	ms, _ := strconv.Atoi(h.Get("T-Budget"))
+	hint, _ := strconv.Atoi(h.Get("T-Hint"))
+	return Request{ID: h.Get("T-Id"), Key: h.Get("T-Key"), Budget: time.Duration(ms) * time.Millisecond, LengthHint: hint}
+}
+func (testDialect) WriteForward(h http.Header, f Forward) {
+	h.Del("T-Key")
+	h.Set("T-Budget", strconv.FormatInt(f.Left.Milliseconds(), 10))
+	h.Set("T-Server", f.ServerID)
+	h.Set("T-Caller", f.Caller)
+	h.Set("T-Copy", f.Copy)
+	h.Set("T-Last", f.LastEventID)
+}
+func (testDialect) ReadAnswer(_ int, h http.Header) Answer {
+	return Answer{ID: h.Get("T-Id"), Sealed: h.Get("T-Seal") != "", NotRun: h.Get("T-Not-Run") != "", Encoded: h.Get("Content-Encoding") != ""}
+}
+func (testDialect) Unsealed(h http.Header) { h.Del("T-Seal") }
+
+// testServer is a backend server that answers with a function.
+type testServer struct {
+	*http.Server
+	address string
+	count   atomic.Int64
+}
+
+func newTestServer(t *testing.T, handler http.HandlerFunc) *testServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{address: l.Addr().String()}
+	s.Server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.count.Add(1)
+		w.Header().Set("T-Id", r.Header.Get("T-Id"))
+		w.Header().Set("T-Seal", "seal")
+		handler(w, r)
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "%s %s caller=%s key=%s body=%s", r.Method, r.RequestURI, r.Header.Get("T-Caller"), r.Header.Get("T-Key"), body)
+}
+
+type bed struct {
+	t       *testing.T
+	fleet   *testFleet
+	gateway *Gateway
+	address string
+	listen  net.Listener
+}
+
+// evacuatorFunc implements Evacuator.
+type evacuatorFunc func(server backend.Server, run string) (string, string, error)
+
+func (f evacuatorFunc) Whereabouts(_ context.Context, s backend.Server, run string) (string, string, error) {
+	return f(s, run)
+}
+
+func newBed(t *testing.T, evacuator Evacuator, servers ...*testServer) *bed {
+	t.Helper()
+	target := []desired.Target{{Service: "s", Weight: 1}}
+	route := func(name string, kind desired.Kind, attempts int) desired.Route {
+		return desired.Route{Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Targets: target,
+			Timeout: 400 * time.Millisecond, MaxAttempts: attempts}
+	}
+	stream := route("stream", desired.Stream, 1)
+	stream.Timeout = 5 * time.Second
+	open := route("open", desired.Once, 1)
+	open.Anonymous = true
+	state := &desired.State{Version: 1, Routes: []desired.Route{route("once", desired.Once, 1), route("twice", desired.Repeatable, 2), stream, open},
+		Services: []desired.Service{{Name: "s"}}, HasCallers: true, Callers: []desired.Caller{{Name: "team", Keys: []string{"key"}}},
+		Limits: desired.Limits{HeaderBytes: 2000, BodyBytes: 1000, HeaderTimeout: 300 * time.Millisecond}}
+	view := &fleet.View{Table: desired.NewTable(state), Version: 1}
+	for i, s := range servers {
+		view.Servers = append(view.Servers, backend.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Address: s.address, Slots: 4})
+	}
+	f := &testFleet{view: view, confirmed: true}
+	g := New(Options{Fleet: f, Dialect: testDialect{}, Evacuator: evacuator, Regions: failuredomain.NewMap(nil), LeaseLimit: 4 * time.Second,
+		RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, Logger: zap.NewNop(), Metrics: observe.NewMetrics()})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = g.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return &bed{t, f, g, l.Addr().String(), l}
+}
+
+// call sends one request and returns status, headers and body.
+func (b *bed) call(path string, header ...string) (int, http.Header, string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+b.address+path, strings.NewReader("data"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("T-Id", "id-1")
+	r.Header.Set("T-Key", "key")
+	r.Header.Set("T-Budget", "3000")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(body), err
+}
+
+// Guards against requests that reach a backend server changed or with the
+// caller's key, and against callers that are let in or kept out wrongly.
+func TestForward(t *testing.T) {
+	server := newTestServer(t, echo)
+	b := newBed(t, nil, server)
+	for _, c := range []struct {
+		path   string
+		header []string
+		status int
+		body   string
+	}{
+		{"/once/a%2Fb?x=%20y", nil, 200, "POST /once/a%2Fb?x=%20y caller=team key= body=data"},
+		{"/once/x", []string{"T-Key", "other"}, 401, ""},
+		{"/open/x", []string{"T-Key", "other"}, 200, "POST /open/x caller= key= body=data"},
+		{"/none/x", nil, 404, ""},
+		{"/once/x", []string{"T-Caller", "forged"}, 200, "POST /once/x caller=team key= body=data"},
+	} {
+		status, _, body, err := b.call(c.path, c.header...)
+		if err != nil || status != c.status || c.body != "" && body != c.body {
+			t.Errorf("%s: %d %q %v, want %d %q", c.path, status, body, err, c.status, c.body)
+		}
+	}
+}
+
+// Guards against 404 and 401 from a copy that may be old, and against keys that
+// count for longer than the lease after contact with the control group is lost.
+func TestOldCopyRefuses(t *testing.T) {
+	server := newTestServer(t, echo)
+	b := newBed(t, nil, server)
+	check := func(name, path, key string, want int) {
+		t.Helper()
+		status, header, _, err := b.call(path, "T-Key", key)
+		if err != nil || status != want {
+			t.Errorf("%s: %d %v, want %d", name, status, err, want)
+		}
+		if status == 503 && (header.Get("Retry-After") == "" || header.Get(verdictHeader) != "not_run") {
+			t.Errorf("%s: refusal without a time to come back or a verdict: %v", name, header)
+		}
+	}
+	b.fleet.set(func(f *testFleet) { f.age = 2 * time.Second })
+	check("known key within the lease", "/once/x", "key", 200)
+	check("unknown key", "/once/x", "other", 503)
+	check("unknown route", "/none/x", "key", 503)
+	b.fleet.set(func(f *testFleet) { f.age = 4100 * time.Millisecond })
+	check("known key after the lease", "/once/x", "key", 503)
+	check("route without keys", "/open/x", "", 200)
+	b.fleet.set(func(f *testFleet) { f.view = &fleet.View{}; f.confirmed = false })
+	check("no desired state", "/once/x", "key", 503)
+}
+
+// Guards against a request that runs twice though it must not, an answer that is
+// not the server's whole answer, and a refusal of what may have run.
+func TestFaultyServers(t *testing.T) {
+	hijack := func(reply string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, strings.ReplaceAll(reply, "ID", r.Header.Get("T-Id")))
+				_ = conn.Close()
+			}
+		}
+	}
+	const head = "HTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Seal: s\r\n"
+	for _, c := range []struct {
+		name, path string
+		handler    http.HandlerFunc
+		status     int
+		runs       int64
+		sealed     bool
+	}{
+		{"own error", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 500, 1, true},
+		{"own error, repeatable", "/twice/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 500, 2, true},
+		{"no answer", "/once/x", hijack(""), 502, 1, false},
+		{"no answer, repeatable", "/twice/x", hijack(""), 502, 2, false},
+		{"cut in the body", "/once/x", hijack(head + "Content-Length: 10\r\n\r\nhello"), 502, 1, false},
+		{"not an answer", "/once/x", hijack("garbage\r\n\r\n"), 502, 1, false},
+		{"another request's answer", "/once/x", hijack("HTTP/1.1 200 OK\r\nT-Id: other\r\nT-Seal: s\r\nContent-Length: 2\r\n\r\nok"), 502, 1, false},
+		{"without a seal", "/once/x", hijack("HTTP/1.1 200 OK\r\nT-Id: ID\r\nContent-Length: 2\r\n\r\nok"), 502, 1, false},
+		{"encoded", "/once/x", hijack(head + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"), 502, 1, false},
+		{"503 without a promise", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 502, 1, false},
+		{"ended by its connection", "/once/x", hijack(head + "\r\nwhole"), 200, 1, true},
+		{"extra bytes", "/once/x", hijack(head + "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\nmore"), 200, 1, true},
+		{"refused", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("T-Not-Run", "1"); w.WriteHeader(503) }, 503, 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			one, two := newTestServer(t, c.handler), newTestServer(t, c.handler)
+			status, header, body, err := newBed(t, nil, one, two).call(c.path)
+			if err != nil || status != c.status {
+				t.Fatalf("%d %q %v, want %d", status, body, err, c.status)
+			}
+			if runs := one.count.Load() + two.count.Load(); runs != c.runs {
+				t.Errorf("the request arrived %d times, want %d", runs, c.runs)
+			}
+			if (header.Get("T-Seal") != "") != c.sealed {
+				t.Errorf("sealed %v, want %v", !c.sealed, c.sealed)
+			}
+		})
+	}
+}
+
+// Guards against a caller that waits beyond the route's time, and against a
+// server that works on after its caller left.
+func TestTimeAndGoneCallers(t *testing.T) {
+	ended := make(chan struct{}, 4)
+	server := newTestServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		ended <- struct{}{}
+	})
+	b := newBed(t, nil, server)
+	if status, _, body, err := b.call("/once/x"); status != 504 || !strings.Contains(body, "may_have_run") {
+		t.Errorf("%d %q %v, want 504 that may have run", status, body, err)
+	}
+	<-ended
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(conn, "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nT-Id: i\r\nT-Key: key\r\nContent-Length: 0\r\n\r\n")
+	for server.count.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_ = conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Error("the server still works for a caller that left")
+	}
+}
+
+// Guards against a refusal while a server is down and another one is not: a
+// connection that was never made is proof that nothing ran.
+func TestDeadServerIsPassedOver(t *testing.T) {
+	dead, alive := newTestServer(t, echo), newTestServer(t, echo)
+	_ = dead.Close()
+	b := newBed(t, nil, dead, alive)
+	for i := 0; i < 10; i++ {
+		if status, _, _, err := b.call("/once/x"); err != nil || status != 200 {
+			t.Errorf("%d %v", status, err)
+		}
+	}
+}
+
+func events(from, to int) string {
+	var s strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&s, "id: %d\ndata: part-%d\n\n", i, i)
+	}
+	return s.String()
+}
+
+// breakingServer sends events and breaks off in the middle of the next one.
+func breakingServer(t *testing.T, last int) *testServer {
+	return newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, events(1, last)+"id: 99\ndata: ha")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// Guards against a stream that looks complete though its server broke off.
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	b := newBed(t, nil, breakingServer(t, 3))
+	status, _, body, err := b.call("/stream/x")
+	if status != 200 || err == nil {
+		t.Errorf("%d %q, error %v; want an error", status, body, err)
+	}
+}
+
+// Guards against events that are missing or come twice where a generation goes
+// on at another server, and against a wrong copy or event id.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	var resumed atomic.Pointer[string]
+	source := breakingServer(t, 3)
+	target := newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+		asked := r.Header.Get("T-Copy") + " " + r.Header.Get("T-Last") + " " + r.Header.Get("T-Server")
+		resumed.Store(&asked)
+		_, _ = io.WriteString(w, events(4, 6))
+	})
+	find := evacuatorFunc(func(s backend.Server, run string) (string, string, error) {
+		if s.Address != source.address || run != "id-1" {
+			return "", "", errors.New("asked for another run")
+		}
+		return target.address, "copy-7", nil
+	})
+	b := newBed(t, find, source, target)
+	b.fleet.set(func(f *testFleet) {
+		next := *f.view
+		next.Servers = append([]backend.Server(nil), next.Servers...)
+		next.Servers[1].Leaving = true
+		f.view = &next
+	})
+	status, _, body, err := b.call("/stream/x")
+	if err != nil || status != 200 || body != events(1, 6) {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	if asked := resumed.Load(); asked == nil || *asked != "copy-7 3 i-1" {
+		t.Errorf("resumed with %v", asked)
+	}
+}
+
+// Guards against generations that a stopping entry takes and cuts off, and
+// against requests that it drops though it could serve them.
+func TestDrain(t *testing.T) {
+	server := newTestServer(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, events(1, 2)) })
+	b := newBed(t, nil, server)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() { b.gateway.Drain(ctx, 500*time.Millisecond, b.listen); close(done) }()
+	for !b.gateway.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if ready, _ := b.gateway.Ready(); ready {
+		t.Error("a stopping entry is ready")
+	}
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprint(conn, "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nT-Id: i\r\nT-Key: key\r\nT-Hint: 20\r\nContent-Length: 0\r\n\r\n")
+	if answer, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200 OK") || !strings.Contains(string(answer), "Connection: close\r\n") {
+		t.Errorf("a short generation: %q %v", answer, err)
+	}
+	if status, _, _, err := b.call("/stream/x", "T-Hint", "2000"); err != nil || status != 503 {
+		t.Errorf("a long generation: %d %v, want 503", status, err)
+	}
+	<-done
+	if _, err := net.Dial("tcp", b.address); err == nil {
+		t.Error("the listener is still open")
+	}
+}
+
+// Guards against a limit that is not applied or ends another caller's request.
+func TestLimits(t *testing.T) {
+	b := newBed(t, nil, newTestServer(t, echo))
+	send := func(text string) string {
+		conn, err := net.Dial("tcp", b.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, text)
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		return strings.TrimSpace(line)
+	}
+	const proper = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nT-Id: i\r\nT-Key: key\r\n"
+	for _, c := range []struct{ name, text, want string }{
+		{"head", proper + "X: " + strings.Repeat("x", 3000) + "\r\n\r\n", "HTTP/1.1 431 Request Header Fields Too Large"},
+		{"body", proper + "Content-Length: 5000\r\n\r\n", "HTTP/1.1 413 Request Entity Too Large"},
+		{"slow head", proper, "HTTP/1.1 408 Request Timeout"},
+		{"two framings", proper + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400 Bad Request"},
+		{"proper", proper + "Content-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK"},
+	} {
+		if got := send(c.text); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against answers that are mixed up between requests of one connection.
+func TestKeptConnection(t *testing.T) {
+	b := newBed(t, nil, newTestServer(t, echo))
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for i := 0; i < 5; i++ {
+		// Two requests at once: the second is in the buffer while the first runs.
+		for j := 0; j < 2; j++ {
+			fmt.Fprintf(conn, "POST /once/%d-%d HTTP/1.1\r\nHost: h.example\r\nT-Id: i\r\nT-Key: key\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", i, j)
+		}
+		for j := 0; j < 2; j++ {
+			response, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(response.Body)
+			if want := fmt.Sprintf("POST /once/%d-%d caller=team key= body=x", i, j); string(body) != want {
+				t.Errorf("%q, want %q", body, want)
+			}
+		}
+	}
+}
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -89,8 +89,8 @@
 // admit finds the route and caller of a request, or answers it.
 func (x *exchange) admit() bool {
 	g := x.g
-	view := g.options.Follower.View()
-	age, confirmed := g.options.Follower.ConfirmedAge()
+	view := g.options.Fleet.View()
+	age, confirmed := g.options.Fleet.ConfirmedAge()
 	if view.Table == nil || !confirmed {
 		x.refuse("no desired state is known", verdict.ReasonNotReady)
 		return false
--- /dev/null
+++ b/gateway/head_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"strings"
+	"testing"
+)
+
+const start = "POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
+
+// Guards against a request that hides another one, because two readers frame it
+// in two ways.
+func TestParseHeadRefusesAmbiguousFraming(t *testing.T) {
+	for name, head := range map[string]string{
+		"length and encoding":         start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"two lengths":                 start + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
+		"two equal lengths":           start + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n",
+		"list of lengths":             start + "Content-Length: 5, 5\r\n\r\n",
+		"signed length":               start + "Content-Length: +5\r\n\r\n",
+		"negative length":             start + "Content-Length: -5\r\n\r\n",
+		"hexadecimal length":          start + "Content-Length: 0x5\r\n\r\n",
+		"other encoding":              start + "Transfer-Encoding: xchunked\r\n\r\n",
+		"encoding list":               start + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+		"two encodings":               start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n",
+		"space before the colon":      start + "Transfer-Encoding : chunked\r\n\r\n",
+		"folded header":               start + "X: a\r\n b: c\r\n\r\n",
+		"bare carriage return":        start + "X: a\rTransfer-Encoding: chunked\r\n\r\n",
+		"two hosts":                   start + "Host: other.example\r\n\r\n",
+		"no name":                     start + ": a\r\n\r\n",
+		"zero byte":                   start + "X: a\x00\r\n\r\n",
+		"version of another protocol": "POST / HTTP/2.0\r\nHost: h\r\n\r\n",
+		"no version":                  "POST /a/b\r\nHost: h\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, _, err := parseHead([]byte(head)); !errors.Is(err, errMalformed) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+	r, f, err := parseHead([]byte(start + "Content-Length: 5\r\n\r\n"))
+	if err != nil || f.length != 5 || f.chunked || r.RequestURI != "/a/b" || r.Host != "h.example" {
+		t.Errorf("a proper head: %+v, %v", f, err)
+	}
+}
+
+// Guards against line ends that one parser takes for the end of a head and
+// another does not, and against a head without a bound.
+func TestReadHead(t *testing.T) {
+	read := func(text string, limit int64) (string, error) {
+		head, err := readHead(bufio.NewReaderSize(strings.NewReader(text), 32), limit)
+		return string(head), err
+	}
+	if _, err := read("GET / HTTP/1.1\nHost: h\n\n", 1000); !errors.Is(err, errMalformed) {
+		t.Errorf("bare line feeds: %v", err)
+	}
+	if _, err := read(start+"X: "+strings.Repeat("x", 1000)+"\r\n\r\n", 500); !errors.Is(err, errHeadTooLarge) {
+		t.Errorf("a large head: %v", err)
+	}
+	if head, err := read("\r\n"+start+"\r\nrest", 1000); err != nil || head != start+"\r\n" {
+		t.Errorf("an empty line before: %q, %v", head, err)
+	}
+}
+
+// Guards against bytes of a body that are taken for the next request, and
+// against bodies without a bound.
+func TestReadBody(t *testing.T) {
+	for _, c := range []struct {
+		name, in string
+		f        framing
+		want     string
+		err      error
+		rest     string
+	}{
+		{"length", "hellorest", framing{length: 5}, "hello", nil, "rest"},
+		{"chunks", "5;x=y\r\nhello\r\n3\r\n wo\r\n0\r\nTrailer: x\r\n\r\nrest", framing{chunked: true}, "hello wo", nil, "rest"},
+		{"too long", "hello", framing{length: 50}, "", errBodyTooLarge, "hello"},
+		{"chunks too long", "ff\r\n", framing{chunked: true}, "", errBodyTooLarge, ""},
+		{"chunk size with a sign", "+5\r\nhello\r\n0\r\n\r\n", framing{chunked: true}, "", errMalformed, ""},
+		{"chunk longer than its size", "3\r\nhello\r\n0\r\n\r\n", framing{chunked: true}, "", errMalformed, ""},
+		{"bare line feed", "5\nhello\r\n0\r\n\r\n", framing{chunked: true}, "", errMalformed, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in := bufio.NewReader(strings.NewReader(c.in))
+			body, err := readBody(in, c.f, 20)
+			if !errors.Is(err, c.err) || string(body) != c.want && err == nil {
+				t.Fatalf("%q, %v", body, err)
+			}
+			if rest, _ := in.ReadString(0); err == nil && rest != c.rest {
+				t.Errorf("rest %q, want %q", rest, c.rest)
+			}
+		})
+	}
+}
+
+func FuzzParseHead(f *testing.F) {
+	f.Add([]byte(start + "Content-Length: 5\r\n\r\n"))
+	f.Add([]byte(start + "Transfer-Encoding: chunked\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		head, err := readHead(bufio.NewReader(strings.NewReader(string(data))), 4096)
+		if err != nil {
+			return
+		}
+		_, frame, err := parseHead(head)
+		if err == nil && frame.chunked && frame.length != 0 {
+			t.Error("a head with two framings was taken")
+		}
+	})
+}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -60,7 +60,7 @@
 	svc := s.byName[name]
 	if svc == nil {
 		spill := plainSpill
-		if t := s.options.Follower.View().Table; t != nil && t.Service(name) != nil && t.Service(name).Engine != nil {
+		if t := s.options.Fleet.View().Table; t != nil && t.Service(name) != nil && t.Service(name).Engine != nil {
 			spill = engineSpill
 		}
 		svc = &service{
--- a/observe/log.go
+++ b/observe/log.go
@@ -36,13 +36,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create logger")
 	}
+	core := zapcore.NewCore(newEncoder(), zapcore.Lock(zapcore.AddSync(out)), lowest)
+	core = zapcore.NewSamplerWithOptions(&boundedCore{core, 0}, time.Second, sampleFirst, sampleThereafter)
+	return zap.New(core), nil
+}
+
+func newEncoder() zapcore.Encoder {
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.TimeKey = "time"
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	encoding.EncodeDuration = zapcore.SecondsDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(zapcore.AddSync(out)), lowest)
-	core = zapcore.NewSamplerWithOptions(&boundedCore{core, 0}, time.Second, sampleFirst, sampleThereafter)
-	return zap.New(core), nil
+	return zapcore.NewJSONEncoder(encoding)
 }
 
 // RequestID is the log field for a request.
