Reserve memory for a generation before it is sent

Change: entries ask engines for room, look again for 1.2 s, then queue; new generations are equal at engines and moved ones come first; a refused move goes to the next destination at once; a generation that was moved before its first event goes on; hints are capped by the declared maximum; daemons watch a control member of their own domain, agents without loads.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -149,11 +149,11 @@
 
 func (h *hosted) runEntry(ctx context.Context, s *platform.Settings) error {
 	follower := fleet.NewFollower(fleet.FollowerOptions{Seeds: h.seeds, Codec: platform.Codec{},
-		Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Logger: h.logger})
+		Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Logger: h.logger, FailureDomain: s.FailureDomain})
 	g := gateway.New(gateway.Options{
 		Fleet: follower, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
-		Evacuator: &evacuate.Locator{Pool: h.pool, AgentBeside: s.AgentBeside},
-		Regions:   failuredomain.NewMap(s.Regions), LeaseLimit: time.Duration(float64(s.RevokeBound) * leaseShare),
+		Evacuator: &evacuate.Locator{Pool: h.pool, AgentBeside: s.AgentBeside}, Reserver: platform.NewReserver(),
+		Regions: failuredomain.NewMap(s.Regions), LeaseLimit: time.Duration(float64(s.RevokeBound) * leaseShare),
 		RetryRatio: s.RetryRatio * retryRatioShare, RetrySlack: s.RetrySlack / retryShareEntries, RetryWindow: s.RetryWindow,
 		Logger: h.logger, Metrics: h.metrics,
 	})
@@ -205,7 +205,7 @@
 	}
 	server := wire.NewServer(peers)
 	control, err := fleet.NewControl(fleet.ControlOptions{
-		Address: s.PeerAddress(), DataFolder: s.DataFolder, Seeds: h.seeds, Bootstrap: s.FirstStart, Tolerance: s.ToleratedLosses,
+		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: h.seeds, Bootstrap: s.FirstStart, Tolerance: s.ToleratedLosses,
 		Codec: platform.Codec{}, Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Dial: h.dial, Server: server, Logger: h.logger,
 	})
 	if err != nil {
@@ -226,7 +226,8 @@
 		return errors.Wrap(err, "listen for entries")
 	}
 	server := wire.NewServer(peers)
-	follower := fleet.NewFollower(fleet.FollowerOptions{Seeds: h.seeds, Codec: platform.Codec{}, Pool: h.pool, Logger: h.logger})
+	follower := fleet.NewFollower(fleet.FollowerOptions{Seeds: h.seeds, Codec: platform.Codec{}, Pool: h.pool, Logger: h.logger,
+		FailureDomain: s.FailureDomain, Lazy: true})
 	agent, err := evacuate.New(evacuate.Options{
 		Address: s.ServerAddress, Service: s.Service, FailureDomain: s.FailureDomain,
 		Engine: platform.NewReplica(s.ServerAddress), Fleet: follower, Pool: h.pool, Logger: h.logger,
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -40,8 +40,15 @@
 	// lastChance is the time before the end of the server at which a generation
 	// is stopped in any case.
 	lastChance = 300 * time.Millisecond
+	// refreshInterval is the pause between refreshes of loads during a notice, and
+	// refreshTimeout bounds one.
+	refreshInterval = 300 * time.Millisecond
+	refreshTimeout  = 100 * time.Millisecond
+	// maxRefused bounds the destinations tried for one generation; a refusal takes
+	// about two milliseconds.
+	maxRefused = 12
 	// refusedLife is how long a destination that took no copy is avoided.
-	refusedLife = time.Second
+	refusedLife = 300 * time.Millisecond
 	// whereaboutsWait bounds how long an entry is kept waiting for a move.
 	whereaboutsWait = 800 * time.Millisecond
 	// keepMoved is how long whereabouts are kept, longer than a copy lives.
@@ -75,7 +82,11 @@
 }
 
 // Fleet is the daemon's copy of the fleet's state.
-type Fleet interface{ View() *fleet.View }
+type Fleet interface {
+	View() *fleet.View
+	// Refresh takes over the newest loads now.
+	Refresh(ctx context.Context) error
+}
 
 // Options holds the parameters of an Agent.
 type Options struct {
@@ -104,7 +115,9 @@
 	refused  map[string]time.Time
 	reported backend.Report
 	lastSent time.Time
-	slots    chan struct{}
+	// refreshed is when the loads of other servers were asked for.
+	refreshed time.Time
+	slots     chan struct{}
 }
 
 // New returns an Agent and registers its service.
@@ -128,6 +141,7 @@
 		}
 		if err == nil {
 			a.report(ctx, status)
+			a.refresh(ctx, status)
 			a.look(ctx, status)
 		}
 		select {
@@ -163,6 +177,20 @@
 	}()
 }
 
+// refresh gets the loads of the destinations, which are old otherwise, before
+// generations are moved.
+func (a *Agent) refresh(ctx context.Context, s Status) {
+	if !s.Leaving || len(s.Runs) == 0 || time.Since(a.refreshed) < refreshInterval {
+		return
+	}
+	a.refreshed = time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := a.options.Fleet.Refresh(callCtx); err != nil {
+		a.options.Logger.Info("loads of other servers not refreshed", zap.Error(err))
+	}
+}
+
 // look starts moves when the server leaves. Generations that were not there at
 // the look before are left alone once, because many are over within that time.
 func (a *Agent) look(ctx context.Context, s Status) {
@@ -250,9 +278,8 @@
 	case <-ctx.Done():
 		return
 	}
-	logger := a.options.Logger.With(zap.String("request_id", m.Run.ID), zap.String("destination", m.Destination), zap.Int("tokens", m.Run.Tokens))
 	began := time.Now()
-	copied, err := a.copyRunning(ctx, m, end)
+	copied, err := a.copyRunning(ctx, &m, end)
 	var c Copy
 	if err == nil {
 		c, err = a.options.Engine.Move(ctx, m.Run.ID, m.Destination, true)
@@ -272,23 +299,43 @@
 		a.refused[m.Destination] = time.Now()
 		a.mu.Unlock()
 	}
-	logger.Info("generation moved", zap.Duration("copy_seconds", copied.Sub(began)), zap.Duration("stop_seconds", time.Since(copied)),
+	a.options.Logger.Info("generation moved", zap.String("request_id", m.Run.ID), zap.String("destination", m.Destination), zap.Int("tokens", m.Run.Tokens),
+		zap.Duration("copy_seconds", copied.Sub(began)), zap.Duration("stop_seconds", time.Since(copied)),
 		zap.Int("events", c.Events), zap.Duration("left_seconds", time.Until(end)), zap.Error(err))
 }
 
-// copyRunning copies a running generation until a copy is short. It returns when
-// the last copy ended.
-func (a *Agent) copyRunning(ctx context.Context, m evacuation.Move, end time.Time) (time.Time, error) {
-	for {
+// copyRunning copies a running generation until a copy is short. A destination
+// that refuses is replaced by the next one. It returns when the last copy ended.
+func (a *Agent) copyRunning(ctx context.Context, m *evacuation.Move, end time.Time) (time.Time, error) {
+	for refused := 0; ; {
 		began := time.Now()
 		_, err := a.options.Engine.Move(ctx, m.Run.ID, m.Destination, false)
 		now := time.Now()
+		if err != nil && ctx.Err() == nil && !errors.Is(err, ErrNoRun) && refused < maxRefused {
+			refused++
+			if a.replan(m, end.Sub(now)) {
+				continue
+			}
+		}
 		if err != nil || now.Sub(began) <= shortCopy || end.Sub(now) <= lastChance {
 			return now, err
 		}
 	}
 }
 
+// replan finds another destination for a move that was refused.
+func (a *Agent) replan(m *evacuation.Move, left time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused[m.Destination] = time.Now()
+	moves := evacuation.Plan([]evacuation.Run{m.Run}, a.destinations(), a.link(), left)
+	if len(moves) == 0 {
+		return false
+	}
+	m.Destination = moves[0].Destination
+	return true
+}
+
 // WhereaboutsRequest asks where a generation went.
 type WhereaboutsRequest struct{ Run string }
 
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -52,7 +52,8 @@
 
 type testFleet struct{ view fleet.View }
 
-func (f *testFleet) View() *fleet.View { return &f.view }
+func (f *testFleet) View() *fleet.View             { return &f.view }
+func (f *testFleet) Refresh(context.Context) error { return nil }
 
 func newAgent(t *testing.T, engine *testEngine) (*Agent, *Locator) {
 	t.Helper()
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -55,8 +55,12 @@
 }
 
 // publish makes a new stamp. The lock is held.
-func (b *board) publish() {
-	b.stamp = Stamp{Source: b.source, Number: b.stamp.Number + 1}
+func (b *board) publish(loadsOnly bool) {
+	number := b.stamp.Number
+	if !loadsOnly || b.stamp.Source != b.source {
+		number++
+	}
+	b.stamp = Stamp{Source: b.source, Number: number, Loads: b.stamp.Loads + 1}
 	b.list.Reports = make(map[string]backend.Report, len(b.reports))
 	for address, r := range b.reports {
 		b.list.Reports[address] = r.Report
@@ -79,7 +83,7 @@
 	b.has, b.readAt = true, began
 	b.list.Servers = servers
 	if !same || b.dirty {
-		b.publish()
+		b.publish(same)
 	}
 }
 
@@ -91,7 +95,7 @@
 	old, known := b.reports[r.Address]
 	b.reports[r.Address] = timedReport{r, now}
 	if r.Leaving != (known && old.Leaving) {
-		b.publish()
+		b.publish(false)
 	} else if !known || old.Load != r.Load {
 		b.dirty = true
 	}
@@ -102,7 +106,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.dirty && b.has {
-		b.publish()
+		b.publish(true)
 	}
 }
 
@@ -132,8 +136,13 @@
 	}
 }
 
-func (b *board) current() Stamp {
+// newer tells whether there is something for a watch that has a stamp. A lazy
+// one does not wait for loads.
+func (b *board) newer(have Stamp, lazy bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.stamp
+	if lazy {
+		have.Loads = b.stamp.Loads
+	}
+	return b.stamp != have
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -43,7 +43,8 @@
 // ControlOptions holds the parameters of a Control.
 type ControlOptions struct {
 	// Address is the own peer address.
-	Address string
+	Address       string
+	FailureDomain string
 	// DataFolder is empty on a host without a disk, which forwards calls only.
 	DataFolder string
 	Seeds      func() []string
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -19,6 +19,7 @@
 	// noticed after watchWait and watchGrace.
 	watchWait  = 400 * time.Millisecond
 	watchGrace = 500 * time.Millisecond
+	lazyWait   = 1500 * time.Millisecond
 	// watchRetry is the pause after a failed watch.
 	watchRetry = 50 * time.Millisecond
 	// staleConfirmation is the age of a member's last quorum confirmation from
@@ -56,6 +57,11 @@
 	Directory Directory
 	Pool      *wire.Pool
 	Logger    *zap.Logger
+	// FailureDomain is the own one; members there are preferred, because bytes
+	// between failure domains are dear.
+	FailureDomain string
+	// Lazy is set for a daemon that needs loads only now and then.
+	Lazy bool
 	// Member is the own peer address of a control member. Such a follower watches
 	// only the leader.
 	Member string
@@ -69,8 +75,10 @@
 	// confirmed and listRead are readings of Elapsed, 0 before the first.
 	confirmed, listRead atomic.Int64
 	asked               string
-	lost                bool
-	lostAt              time.Duration
+	// domains are the failure domains of the members that answered.
+	domains map[string]string
+	lost    bool
+	lostAt  time.Duration
 
 	mu        sync.Mutex
 	listeners []func(*View)
@@ -78,7 +86,7 @@
 
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(options FollowerOptions) *Follower {
-	f := &Follower{options: options, rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
+	f := &Follower{options: options, domains: map[string]string{}, rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
 	f.view.Store(&View{})
 	return f
 }
@@ -169,6 +177,12 @@
 	if f.asked != "" {
 		return f.asked
 	}
+	for _, member := range v.Members {
+		if f.domains[member] == f.options.FailureDomain && f.options.FailureDomain != "" && f.rng.Intn(2) == 0 {
+			f.asked = member
+			return f.asked
+		}
+	}
 	candidates := append(append([]string(nil), v.Members...), f.options.Seeds()...)
 	if len(candidates) == 0 {
 		return ""
@@ -180,13 +194,17 @@
 // watch makes one call and takes over what is newer.
 func (f *Follower) watch(ctx context.Context, address string) error {
 	v := f.view.Load()
-	request := &WatchRequest{Version: v.Version, List: v.list, Wait: watchWait, Member: f.options.Member}
+	wait := watchWait
+	if f.options.Lazy {
+		wait = lazyWait
+	}
+	request := &WatchRequest{Version: v.Version, List: v.list, Wait: wait, Lazy: f.options.Lazy, Member: f.options.Member}
 	if v.Table == nil {
 		request.Version = 0
 	}
 	sent := Elapsed()
 	var reply WatchReply
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	callCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
 	if err := f.options.Pool.Call(callCtx, address, ServiceName+".Watch", request, &reply); err != nil {
 		return err
@@ -194,12 +212,41 @@
 	if err := f.take(&reply, sent); err != nil {
 		return err
 	}
+	f.domains[address] = reply.FailureDomain
+	f.lookNearer(v, reply.FailureDomain)
 	if !reply.Confirmed || reply.ConfirmedAge > staleConfirmation {
 		return errors.Errorf("the member has no confirmation of a quorum, or one of %v ago", reply.ConfirmedAge)
 	}
 	return nil
 }
 
+// Refresh takes over the newest list with its loads from the leader now.
+func (f *Follower) Refresh(ctx context.Context) error {
+	v := f.view.Load()
+	sent := Elapsed()
+	var reply WatchReply
+	if err := f.options.Pool.Call(ctx, v.Leader, ServiceName+".Watch", &WatchRequest{Version: v.Version, List: v.list}, &reply); err != nil {
+		return err
+	}
+	return f.take(&reply, sent)
+}
+
+// lookNearer makes the next watch go to a member that did not answer yet, while
+// none of the own failure domain did.
+func (f *Follower) lookNearer(v *View, answered string) {
+	if answered == f.options.FailureDomain || f.options.FailureDomain == "" || f.options.Member != "" {
+		return
+	}
+	for _, member := range v.Members {
+		domain, known := f.domains[member]
+		if !known || domain == f.options.FailureDomain {
+			f.asked = member
+			f.domains[member] = domain
+			return
+		}
+	}
+}
+
 // take merges a reply. Nothing older replaces something newer.
 func (f *Follower) take(reply *WatchReply, sent time.Duration) error {
 	f.mu.Lock()
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -10,10 +10,11 @@
 // ServiceName is the net/rpc service of the control members.
 const ServiceName = "Fleet"
 
-// Stamp names one state of a member's list of backend servers.
+// Stamp names one state of a member's list of backend servers. Number counts
+// changes of the servers and their leaving marks, Loads those of loads as well.
 type Stamp struct {
-	Source string
-	Number uint64
+	Source        string
+	Number, Loads uint64
 }
 
 // WatchRequest asks for what is newer than the sender's copy. The reply comes
@@ -22,6 +23,8 @@
 	Version uint64
 	List    Stamp
 	Wait    time.Duration
+	// Lazy watches are not answered early for changed loads.
+	Lazy bool
 	// Member is the peer address of a control member that asks, else empty.
 	Member string
 }
@@ -46,6 +49,8 @@
 	// Members and Leader are peer addresses of the control group.
 	Members []string
 	Leader  string
+	// FailureDomain is that of the member that answers.
+	FailureDomain string
 }
 
 // PutRequest publishes a document.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -186,7 +186,7 @@
 	for waiting := true; waiting; {
 		news := c.board.changed()
 		version, document := c.register.current()
-		if c.board.current() != request.List || document != nil && version > request.Version {
+		if c.board.newer(request.List, request.Lazy) || document != nil && version > request.Version {
 			break
 		}
 		select {
@@ -213,6 +213,7 @@
 		reply.Members = append(reply.Members, m.Address)
 	}
 	reply.Leader, _ = node.Leader()
+	reply.FailureDomain = c.options.FailureDomain
 	reply.Held = now - arrived
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	Caller   string
 	// Priority is 0 for the most urgent.
 	Priority int
+	// Hold names memory that was reserved for the request.
+	Hold string
 	// Copy and LastEventID are set for a generation that goes on elsewhere.
 	Copy        string
 	LastEventID string
@@ -98,12 +100,20 @@
 	ConfirmedAge() (time.Duration, bool)
 }
 
+// Reserver reserves memory for a generation.
+type Reserver interface {
+	// Reserve returns the name of a reservation, and false when the server has
+	// no room now.
+	Reserve(ctx context.Context, server backend.Server, tokens int) (hold string, ok bool, err error)
+}
+
 // Options holds the parameters of a Gateway.
 type Options struct {
 	Fleet   Fleet
 	Dialect Dialect
-	// Evacuator may be nil.
+	// Evacuator and Reserver may be nil.
 	Evacuator     Evacuator
+	Reserver      Reserver
 	Name          string
 	FailureDomain string
 	Regions       failuredomain.Map
--- /dev/null
+++ b/gateway/place_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/fleet"
+)
+
+// testReserver grants room at some servers.
+type testReserver struct {
+	mu    sync.Mutex
+	room  map[string]bool
+	asked []string
+}
+
+func (r *testReserver) Reserve(_ context.Context, s backend.Server, tokens int) (string, bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked = append(r.asked, s.ID)
+	return "hold-" + s.ID, r.room[s.ID], nil
+}
+
+// sizedDialect also reads sizes and passes reservations on.
+type sizedDialect struct{ testDialect }
+
+func (d sizedDialect) ReadRequest(h http.Header) Request {
+	r := d.testDialect.ReadRequest(h)
+	r.PromptTokens, r.MaxTokens = 1000, 100
+	return r
+}
+
+func (d sizedDialect) WriteForward(h http.Header, f Forward) {
+	d.testDialect.WriteForward(h, f)
+	h.Set("T-Hold", f.Hold)
+}
+
+func newSizedBed(t *testing.T, reserver Reserver, servers ...*testServer) *bed {
+	b := newBed(t, nil, servers...)
+	b.gateway.options.Dialect, b.gateway.options.Reserver = sizedDialect{}, reserver
+	b.fleet.set(func(f *testFleet) {
+		state := *f.view.Table.State
+		state.Services = []desired.Service{{Name: "s", Engine: &desired.Engine{MemoryTokens: 30000}}}
+		f.view = &fleet.View{Table: desired.NewTable(&state), Version: 1, Servers: f.view.Servers}
+	})
+	return b
+}
+
+func streamHold(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.WriteString(w, "data: "+r.Header.Get("T-Server")+" "+r.Header.Get("T-Hold")+"\n\n")
+}
+
+// Guards against the load of entries that all read the same old reports: a
+// generation must go where there is room now, not where there was.
+func TestGenerationGoesWhereThereIsRoom(t *testing.T) {
+	servers := []*testServer{newTestServer(t, streamHold), newTestServer(t, streamHold), newTestServer(t, streamHold)}
+	reserver := &testReserver{room: map[string]bool{"i-2": true}}
+	b := newSizedBed(t, reserver, servers...)
+	for i := 0; i < 10; i++ {
+		if status, _, body, err := b.call("/stream/x"); err != nil || status != 200 || body != "data: i-2 hold-i-2\n\n" {
+			t.Errorf("%d %q %v", status, body, err)
+		}
+	}
+}
+
+// Guards against a generation that is held at the entry for good while no engine
+// has room: it queues at one after a bounded wait.
+func TestGenerationQueuesWithoutRoom(t *testing.T) {
+	b := newSizedBed(t, &testReserver{}, newTestServer(t, streamHold))
+	began := time.Now()
+	status, _, body, err := b.call("/stream/x")
+	if err != nil || status != 200 || !strings.HasPrefix(body, "data: i-0 \n") {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	if waited := time.Since(began); waited < reserveWait {
+		t.Errorf("queued after %v, before room was looked for again", waited)
+	}
+}
+
+// Guards against reservations of plain requests, which need no memory.
+func TestPlainRequestReservesNothing(t *testing.T) {
+	reserver := &testReserver{}
+	b := newSizedBed(t, reserver, newTestServer(t, echo))
+	if status, _, _, err := b.call("/once/x"); err != nil || status != 200 || len(reserver.asked) > 0 {
+		t.Errorf("%d %v, asked %v", status, err, reserver.asked)
+	}
+}
+
+// Guards against a hint that is far off and reserves more than any engine has.
+func TestExpectedTokens(t *testing.T) {
+	for _, c := range []struct{ hint, most, want int }{{60, 80, 60}, {63000, 2216, 2216}, {0, 80, 40}, {60, 0, 60}, {0, 0, 0}} {
+		if got := (Request{LengthHint: c.hint, MaxTokens: c.most}).expectedTokens(); got != c.want {
+			t.Errorf("hint %d of at most %d: %d, want %d", c.hint, c.most, got, c.want)
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/placement"
 	"github.com/pkg/errors"
@@ -99,7 +100,10 @@
 			return
 		}
 		x.settle(u.server.ID, placement.Canceled)
-		next, resumeErr := x.resume(ctx, u, events, resumes)
+		next, resumeErr := (*upstream)(nil), errors.New("the generation went on elsewhere too often")
+		if resumes < maxResumes {
+			next, resumeErr = x.resume(ctx, u.server, events.lastID)
+		}
 		x.logBreak(ctx, u, events, err, resumeErr)
 		if resumeErr != nil {
 			x.g.metrics.aborted.Add(1)
@@ -129,14 +133,14 @@
 }
 
 // resume continues the generation from the memory that was moved away.
-func (x *exchange) resume(ctx context.Context, u *upstream, events *eventReader, resumes int) (*upstream, error) {
-	if x.g.options.Evacuator == nil || resumes >= maxResumes {
+func (x *exchange) resume(ctx context.Context, from backend.Server, lastID string) (*upstream, error) {
+	if x.g.options.Evacuator == nil {
 		return nil, errors.New("the generation can not go on elsewhere")
 	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	address, name, err := x.g.options.Evacuator.Whereabouts(ctx, u.server, x.says.ID)
+	address, name, err := x.g.options.Evacuator.Whereabouts(ctx, from, x.says.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -145,7 +149,7 @@
 		return nil, errors.Errorf("no server is known at %s", address)
 	}
 	f := x.forward(server)
-	f.Copy, f.LastEventID = name, events.lastID
+	f.Copy, f.LastEventID, f.Priority = name, lastID, movedGeneration
 	next, result, err := x.g.send(ctx, server, x.r, f)
 	if err != nil {
 		return nil, err
