Look for room again when all engines of a small service were asked

Cause: the new test of a generation without room failed: with one engine left to ask, the generation queued at once instead of after 1.2 s. Change: one round of asking ends when no engine is left or four were asked.

--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -236,27 +236,30 @@
 	if !ok || !x.reserves() {
 		return first, "", ok
 	}
-	server := first
-	for try := 1; ; try++ {
+	server, asked := first, 0
+	for {
 		hold, room, err := x.g.options.Reserver.Reserve(ctx, server, x.tokens())
 		if err == nil && room {
 			return server, hold, true
 		}
-		if try == 1 || err != nil {
+		if asked++; asked == 1 || err != nil {
 			x.logger.Info("no room at a backend server", zap.String("backend_server", server.ID), zap.Int("tokens", x.tokens()), zap.Error(err))
 		}
 		if server.ID != first.ID {
 			x.settle(server.ID, placement.Canceled)
 		}
 		query.Exclude = append(query.Exclude, server.ID)
-		if try%maxReserveTries == 0 {
-			if ctx.Err() != nil || time.Since(x.r.arrived) > reserveWait {
-				x.logger.Info("generation queues without a reservation", zap.String("backend_server", first.ID), zap.Int("servers_asked", try))
-				return first, "", true
+		if len(query.Exclude)-len(x.tried) < maxReserveTries {
+			if server, ok = x.g.services.choose(x.g.elapsed(), x.service, query); ok {
+				continue
 			}
-			time.Sleep(reservePause + time.Duration(x.g.draw()*float64(reservePause)))
-			query.Exclude = append([]string(nil), x.tried...)
 		}
+		if ctx.Err() != nil || time.Since(x.r.arrived) > reserveWait {
+			x.logger.Info("generation queues without a reservation", zap.String("backend_server", first.ID), zap.Int("servers_asked", asked))
+			return first, "", true
+		}
+		time.Sleep(reservePause + time.Duration(x.g.draw()*float64(reservePause)))
+		query.Exclude = append([]string(nil), x.tried...)
 		if server, ok = x.g.services.choose(x.g.elapsed(), x.service, query); !ok {
 			return first, "", true
 		}
