--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -39,9 +39,8 @@
 	// harder.
 	memoryShare = 0.7
 	// retryShareEntries is the number of entries that the slack of the retry
-	// budget is divided by. It is above the number of entries that carry most of
-	// the traffic of a service at a time.
-	retryShareEntries = 12
+	// budget is divided by; the largest deployment so far has 33.
+	retryShareEntries = 40
 	// retryRatioShare keeps the sum over entries below the bound when consumers
 	// move between entries.
 	retryRatioShare = 0.6
