Reserve half as much again as a generation is expected to take

Cause: length hints are right at the median only, so half of the generations outgrew their reservation and could be preempted.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -96,4 +96,6 @@
 }
 
 // tokens is the memory that the generation is expected to take.
-func (x *exchange) tokens() int { return x.says.PromptTokens + x.says.expectedTokens() }
+func (x *exchange) tokens() int {
+	return x.says.PromptTokens + min(max(x.says.MaxTokens, x.says.expectedTokens()), x.says.expectedTokens()*3/2)
+}
