Count prompts that are still read as load of an engine

Ruled out: waiting for reservations (no generation queued without one). Change: agents report prompts without a first event as waiting and reserved memory as used, each 200 ms; entries weigh a waiting prompt with 0.4 s and do not overwrite an engine's report by the load in its answers. Leaders are replaced in 0.6 to 1.2 s; refused callers are told when a starting system is expected to be ready.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -77,3 +77,23 @@
 		}
 	}
 }
+
+// Guards against callers that come back before the system can have started, or
+// so late that no time is left, or all at one moment.
+func TestRetryAfter(t *testing.T) {
+	for _, c := range []struct {
+		notReady  bool
+		budget    time.Duration
+		low, high time.Duration
+	}{
+		{true, 39 * time.Second, 1500 * time.Millisecond, 4 * time.Second},
+		{false, 39 * time.Second, time.Second, 2 * time.Second},
+		{true, 1500 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond},
+		{false, 0, time.Second, 2 * time.Second},
+	} {
+		early, late := RetryAfter(c.notReady, c.budget, 0), RetryAfter(c.notReady, c.budget, 0.999)
+		if early < c.low || late > c.high || early >= late {
+			t.Errorf("notReady %v, budget %v: %v to %v, want within %v to %v and spread", c.notReady, c.budget, early, late, c.low, c.high)
+		}
+	}
+}
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -19,3 +19,31 @@
 	}
 	return time.Duration(tokensExpected)*tokenTime*3/2 <= left
 }
+
+// Times after which refused callers come back.
+const (
+	// readyAfter is about how long a control group takes from a start of all
+	// hosts until daemons have a confirmed desired state.
+	readyAfter = 2500 * time.Millisecond
+	// roomAfter is about how long a place at a loaded engine takes to come free.
+	roomAfter = 1500 * time.Millisecond
+	// maxShare is the part of the caller's time that it waits at most, so that
+	// the second attempt still has time.
+	maxShare = 0.3
+)
+
+// RetryAfter returns when a refused caller should come back. It answers two
+// loads: a system that is starting (notReady), and servers that are full. Draw,
+// in [0, 1), spreads callers that were refused together. A budget of 0 is
+// unknown.
+func RetryAfter(notReady bool, budget time.Duration, draw float64) time.Duration {
+	wait := roomAfter
+	if notReady {
+		wait = readyAfter
+	}
+	wait = time.Duration(float64(wait) * (0.7 + 0.6*draw))
+	if budget <= 0 {
+		return wait
+	}
+	return min(wait, time.Duration(float64(budget)*maxShare*(0.7+0.3*draw)))
+}
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -24,7 +24,7 @@
 	statusInterval = 100 * time.Millisecond
 	statusTimeout  = 500 * time.Millisecond
 	// reportInterval is the pause between reports of a load.
-	reportInterval = 500 * time.Millisecond
+	reportInterval = 200 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
 	// unknownNotice is assumed when the server does not say how long it stays.
 	unknownNotice = 1500 * time.Millisecond
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// tickInterval replaces a lost leader within 1 s to 2 s, which is shorter
+	// tickInterval replaces a lost leader within 0.6 s to 1.2 s, which is shorter
 	// than the time in which an operator expects an acknowledgment.
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 30 * time.Millisecond
 	// snapshotBytes keeps the log far below the size of a small disk.
 	snapshotBytes = 1 << 20
 	// confirmInterval is the pause between confirmations by a quorum, and
@@ -31,7 +31,9 @@
 	// lags by about as much itself.
 	listInterval = 400 * time.Millisecond
 	// flushInterval bounds how often changed loads are published.
-	flushInterval = 250 * time.Millisecond
+	flushInterval = 150 * time.Millisecond
+	// leaderInterval is the pause between looks at who leads.
+	leaderInterval = 100 * time.Millisecond
 	// memberChange bounds the commit of one change of members.
 	memberChange = 700 * time.Millisecond
 )
@@ -181,7 +183,7 @@
 
 // runLeader tells the follower whom to watch.
 func (c *Control) runLeader(ctx context.Context) {
-	every(ctx, flushInterval, func() {
+	every(ctx, leaderInterval, func() {
 		address, _ := c.node.Load().Leader()
 		if address != c.follower.View().Leader {
 			c.follower.SetLeader(address)
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -27,12 +27,6 @@
 	// defaultBudget applies to a caller that does not say how long it waits and
 	// to a route without a timeout.
 	defaultBudget = time.Minute
-	// Retry-After of a refusal, as a share of the time that the caller waits. A
-	// quarter leaves time for the second attempt; the spread keeps refused
-	// callers from coming back together.
-	retryAfterShare  = 0.15
-	retryAfterSpread = 0.15
-	maxRetryAfter    = 2 * time.Second
 	// outputShare is the part of a generation's largest length that is expected
 	// when the caller gives no hint.
 	outputShare = 0.5
@@ -288,11 +282,7 @@
 // refuse answers that the request did not run and when to come back.
 func (x *exchange) refuse(text string, reason verdict.Reason) {
 	x.g.metrics.refused.Add(1)
-	share := retryAfterShare + retryAfterSpread*x.g.draw()
-	wait := maxRetryAfter
-	if x.says.Budget > 0 {
-		wait = min(wait, time.Duration(share*float64(x.says.Budget)))
-	}
+	wait := dispatch.RetryAfter(reason == verdict.ReasonNotReady, x.says.Budget, x.g.draw())
 	x.fail(http.StatusServiceUnavailable, verdict.NotRun, text, reason, wait)
 }
 
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -11,6 +11,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/placement"
 	"arbutusmast.example/arbutusmast/fleet"
 )
 
@@ -101,3 +102,24 @@
 		}
 	}
 }
+
+// Guards against the load of prompts that come to one engine at once: it reads
+// them side by side, so each of them is late, while other engines are idle. Such
+// prompts hardly show in the engine's memory.
+func TestPromptsThatAreStillReadCountAsLoad(t *testing.T) {
+	servers := []*testServer{newTestServer(t, streamHold), newTestServer(t, streamHold)}
+	b := newSizedBed(t, nil, servers...)
+	b.fleet.set(func(f *testFleet) {
+		next := *f.view
+		next.Reports = map[string]backend.Report{
+			servers[0].address: {Address: servers[0].address, Load: backend.Load{TotalTokens: 30000, UsedTokens: 3000, Waiting: 5}},
+			servers[1].address: {Address: servers[1].address, Load: backend.Load{TotalTokens: 30000, UsedTokens: 9000}},
+		}
+		f.view = &next
+	})
+	for i := 0; i < 3; i++ {
+		if server, ok := b.gateway.services.choose(b.gateway.elapsed(), "s", placement.Query{Blocks: 50}); !ok || server.ID != "i-1" {
+			t.Errorf("chose %q", server.ID)
+		}
+	}
+}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -119,11 +119,15 @@
 }
 
 const (
-	// queueDelayEach is the wait that one queued generation stands for.
-	queueDelayEach = 100 * time.Millisecond
+	// queueDelayEach is the wait that one generation without its first event
+	// stands for: a prompt of 3,000 tokens takes about 0.4 s between the tokens
+	// of others, and prompts at one engine share that time.
+	queueDelayEach = 400 * time.Millisecond
+	// plainDelayEach is the work of one queued plain request.
+	plainDelayEach = 30 * time.Millisecond
 	// reportAge is about how old a report is when it arrives through the control
 	// group.
-	reportAge = 300 * time.Millisecond
+	reportAge = 200 * time.Millisecond
 )
 
 func blocksOf(t *desired.Table, server backend.Server) int {
@@ -163,12 +167,16 @@
 	if server.Slots == 0 {
 		return
 	}
+	if t := s.options.Fleet.View().Table; t != nil && t.Service(server.Service) != nil && t.Service(server.Service).Engine != nil {
+		// An engine's load is its memory, which its agent reports.
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.get(server.Service).place.Hint(now, message.LoadHint{
 		BackendServer: server.ID, Running: load.Running, Waiting: load.Waiting,
 		FreeBlocks: max(0, server.Slots-load.Running) * plainBlocks, TotalBlocks: server.Slots * plainBlocks,
-		QueueDelay: time.Duration(load.Waiting) * queueDelayEach,
+		QueueDelay: time.Duration(load.Waiting) * plainDelayEach,
 	}, 0)
 }
 
