--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -205,7 +205,7 @@
 	server := wire.NewServer(peers)
 	control, err := fleet.NewControl(fleet.ControlOptions{
 		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: h.seeds, Bootstrap: s.FirstStart, Tolerance: s.ToleratedLosses,
-		Codec: platform.Codec{}, Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Dial: h.dial, Server: server, Logger: h.logger,
+		Codec: platform.Codec{}, Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Dial: h.dial, Server: server, Logger: h.logger, Metrics: h.metrics,
 	})
 	if err != nil {
 		return err
@@ -229,7 +229,7 @@
 		FailureDomain: s.FailureDomain, Lazy: true})
 	agent, err := evacuate.New(evacuate.Options{
 		Address: s.ServerAddress, Service: s.Service, FailureDomain: s.FailureDomain,
-		Engine: platform.NewReplica(s.ServerAddress), Fleet: follower, Pool: h.pool, Logger: h.logger,
+		Engine: platform.NewReplica(s.ServerAddress), Fleet: follower, Pool: h.pool, Logger: h.logger, Metrics: h.metrics,
 	}, server)
 	if err != nil {
 		return err
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -10,6 +10,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/evacuation"
 	"arbutusmast.example/arbutusmast/fleet"
+	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -55,32 +56,6 @@
 	keepMoved = 10 * time.Second
 )
 
-// ErrNoRun tells that a generation has ended.
-var ErrNoRun = errors.New("the server runs no such generation")
-
-// Status is what a server says of itself.
-type Status struct {
-	Leaving     bool
-	LeavesIn    time.Duration
-	LeavesKnown bool
-	Load        backend.Load
-	Runs        []evacuation.Run
-}
-
-// Copy is the memory of a generation at another server.
-type Copy struct {
-	Name   string
-	Events int
-}
-
-// Engine is the backend server on this host.
-type Engine interface {
-	Status(ctx context.Context) (Status, error)
-	// Move copies the memory of a generation to another server, and stops it
-	// first when stop is set.
-	Move(ctx context.Context, run, target string, stop bool) (Copy, error)
-}
-
 // Fleet is the daemon's copy of the fleet's state.
 type Fleet interface {
 	View() *fleet.View
@@ -96,6 +71,7 @@
 	Fleet                           Fleet
 	Pool                            *wire.Pool
 	Logger                          *zap.Logger
+	Metrics                         *observe.Metrics
 }
 
 // place is where a generation went.
@@ -118,11 +94,13 @@
 	// refreshed is when the loads of other servers were asked for.
 	refreshed time.Time
 	slots     chan struct{}
+	metrics   metrics
 }
 
 // New returns an Agent and registers its service.
 func New(options Options, server *wire.Server) (*Agent, error) {
 	a := &Agent{options: options, places: map[string]*place{}, previous: map[string]bool{}, refused: map[string]time.Time{}, slots: make(chan struct{}, concurrentMoves)}
+	a.metrics = newMetrics(options.Metrics)
 	return a, errors.Wrap(server.Register(ServiceName, &service{a}), "register the evacuation service")
 }
 
@@ -159,6 +137,9 @@
 		return
 	}
 	if r.Leaving != a.reported.Leaving {
+		if r.Leaving {
+			a.metrics.notices.Add(1)
+		}
 		a.options.Logger.Info("notice of the backend server changed", zap.Bool("leaving", r.Leaving),
 			zap.Duration("leaves_in_seconds", s.LeavesIn), zap.Int("runs", len(s.Runs)))
 	}
@@ -299,6 +280,13 @@
 		a.refused[m.Destination] = time.Now()
 		a.mu.Unlock()
 	}
+	if err != nil {
+		a.metrics.failed.Add(1)
+	} else {
+		a.metrics.moved.Add(1)
+		a.metrics.copying.Record(copied.Sub(began))
+		a.metrics.stopped.Record(time.Since(copied))
+	}
 	a.options.Logger.Info("generation moved", zap.String("request_id", m.Run.ID), zap.String("destination", m.Destination), zap.Int("tokens", m.Run.Tokens),
 		zap.Duration("copy_seconds", copied.Sub(began)), zap.Duration("stop_seconds", time.Since(copied)),
 		zap.Int("events", c.Events), zap.Duration("left_seconds", time.Until(end)), zap.Error(err))
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -10,6 +10,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/evacuation"
 	"arbutusmast.example/arbutusmast/fleet"
+	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -73,7 +74,7 @@
 		view.Reports[s.Address] = backend.Report{Address: s.Address, Load: backend.Load{TotalTokens: 30000}}
 	}
 	pool := wire.NewPool(nil)
-	agent, err := New(Options{Address: "self", Service: "s", FailureDomain: "a", Engine: engine, Fleet: &testFleet{view}, Pool: pool, Logger: zap.NewNop()}, server)
+	agent, err := New(Options{Address: "self", Service: "s", FailureDomain: "a", Engine: engine, Fleet: &testFleet{view}, Pool: pool, Logger: zap.NewNop(), Metrics: observe.NewMetrics()}, server)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"arbutusmast.example/arbutusmast/control"
 	"arbutusmast.example/arbutusmast/core/consensus"
 	"arbutusmast.example/arbutusmast/core/roster"
+	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -60,6 +62,7 @@
 	Dial      wire.Dialer
 	Server    *wire.Server
 	Logger    *zap.Logger
+	Metrics   *observe.Metrics
 }
 
 // Control is one member of the control group, or a forwarder to it.
@@ -72,14 +75,37 @@
 	// confirmed is the reading of Elapsed at which the last confirmation began.
 	confirmed atomic.Int64
 
+	metrics controlMetrics
+
 	mu     sync.Mutex
 	keeper *roster.Keeper
 	nonces map[string]consensus.MemberID
 }
 
+// controlMetrics counts what a member did.
+type controlMetrics struct {
+	acknowledged, refused, unsure, watches, listReads, listFailures *expvar.Int
+}
+
+func newControlMetrics(m *observe.Metrics, c *Control) controlMetrics {
+	m.Gauge("control_confirmed_age_seconds", func() float64 {
+		at, ok := age(&c.confirmed)
+		if !ok {
+			return -1
+		}
+		return at.Seconds()
+	})
+	return controlMetrics{
+		acknowledged: m.Counter("control_states_acknowledged_total"), refused: m.Counter("control_states_refused_total"),
+		unsure: m.Counter("control_states_unanswered_total"), watches: m.Counter("control_watches_total"),
+		listReads: m.Counter("control_list_reads_total"), listFailures: m.Counter("control_list_failures_total"),
+	}
+}
+
 // NewControl registers the services of a member. Run makes it take part.
 func NewControl(options ControlOptions) (*Control, error) {
 	c := &Control{options: options, board: newBoard(options.Address + "/" + newNonce()), nonces: map[string]consensus.MemberID{}}
+	c.metrics = newControlMetrics(options.Metrics, c)
 	c.register = &register{changed: c.board.signal}
 	member := options.Address
 	if options.DataFolder == "" {
@@ -225,9 +251,12 @@
 			failed = err != nil
 			c.options.Logger.Info("reading the list of backend servers", zap.Bool("succeeded", !failed), zap.Error(err))
 		}
-		if err == nil {
-			c.board.read(servers, began)
+		if err != nil {
+			c.metrics.listFailures.Add(1)
+			return
 		}
+		c.metrics.listReads.Add(1)
+		c.board.read(servers, began)
 	})
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -115,7 +116,7 @@
 	}
 	m := &testMember{folder: folder, server: wire.NewServer(l), pool: wire.NewPool(nil), done: make(chan struct{})}
 	m.Control, err = NewControl(ControlOptions{Address: address, DataFolder: folder, Seeds: func() []string { return g.seeds }, Bootstrap: first,
-		Tolerance: 1, Codec: testCodec{}, Directory: g.directory, Pool: m.pool, Dial: wire.DialTCP, Server: m.server, Logger: zap.NewNop()})
+		Tolerance: 1, Codec: testCodec{}, Directory: g.directory, Pool: m.pool, Dial: wire.DialTCP, Server: m.server, Logger: zap.NewNop(), Metrics: observe.NewMetrics()})
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -388,3 +389,43 @@
 		t.Errorf("a discarded folder has identity %v, %v", id, err)
 	}
 }
+
+// silence is a listener that accepts connections and never answers, like a path
+// that lost track of them.
+func silence(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a daemon that waits for good on a member that went silent, or
+// keeps its lease by it.
+func TestFollowerLeavesASilentMember(t *testing.T) {
+	g := newGroup(t, 1)
+	m := g.start(g.seeds[0], true)
+	m.put(t, document(1, "one"))
+	silent := silence(t)
+	f := g.follower(t)
+	eventually(t, "the daemon has the state", func() bool { return f.View().Version == 1 })
+	// The member moves behind the silent address: only its seed is left to ask.
+	f.mu.Lock()
+	next := *f.View()
+	next.Members = []string{silent, silent, silent}
+	f.view.Store(&next)
+	f.mu.Unlock()
+	m.put(t, document(2, "two"))
+	eventually(t, "the daemon has the newer state", func() bool { return f.View().Version == 2 })
+	eventually(t, "the lease is renewed", func() bool { age, ok := f.ConfirmedAge(); return ok && age < time.Second })
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -26,16 +26,19 @@
 func (c *Control) Put(ctx context.Context, document []byte) (uint64, error) {
 	state, err := c.check(document)
 	if err != nil {
+		c.metrics.refused.Add(1)
 		return 0, err
 	}
 	for {
 		version, err := c.try(ctx, state.Version, document)
 		if err == nil {
+			c.metrics.acknowledged.Add(1)
 			c.options.Logger.Info("desired state acknowledged", zap.Uint64("revision", state.Version), zap.Uint64("in_force", version))
 			return version, nil
 		}
 		select {
 		case <-ctx.Done():
+			c.metrics.unsure.Add(1)
 			c.options.Logger.Warn("desired state not acknowledged", zap.Uint64("revision", state.Version), zap.Error(err))
 			return 0, err
 		case <-time.After(putRetry):
@@ -170,6 +173,7 @@
 func (s *service) Watch(request *WatchRequest, reply *WatchReply) error {
 	c := s.control
 	arrived := Elapsed()
+	c.metrics.watches.Add(1)
 	node := c.node.Load()
 	if node == nil {
 		return remote(verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this member has not joined the group"))
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -46,7 +46,6 @@
 type service struct {
 	place  *placement.Machine
 	budget *retry.Budget
-	known  map[string]bool
 	slots  int
 }
 
