Compare all servers where there are few, and ask only engines that reserve

Ruled out: old load hints; the test sets them at the moment of choosing. Change: a list that is not longer than the number of choices is compared whole from a random start; entries reserve and agents move only where the desired state declares it; unused parts of the dialect are gone.

--- a/core/desired/state.go
+++ b/core/desired/state.go
@@ -61,6 +61,8 @@
 	LinkMbps      float64
 	// CanMove tells whether a running request can be copied to another engine.
 	CanMove bool
+	// CanReserve tells whether memory can be reserved before a request is sent.
+	CanReserve bool
 	// EventTokens is the number of tokens in one event.
 	EventTokens int
 	// HandleLife is how long an unused copy is kept.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -207,8 +207,18 @@
 func (m *Machine) sample(now time.Duration, list []*server, q Query) (*server, float64) {
 	var best *server
 	least := 0.0
-	for i := 0; i < m.cfg.Choices && len(list) > 0; i++ {
-		s := list[m.rng.Intn(len(list))]
+	few := len(list) <= m.cfg.Choices
+	start := 0
+	if few && len(list) > 0 {
+		// Drawn with replacement, few servers would often miss the best one. A
+		// random start spreads requests over equal ones.
+		start = m.rng.Intn(len(list))
+	}
+	for i := 0; i < m.cfg.Choices && len(list) > 0 && !(few && i >= len(list)); i++ {
+		s := list[(start+i)%len(list)]
+		if !few {
+			s = list[m.rng.Intn(len(list))]
+		}
 		if s == best || !m.usable(now, s, q) {
 			continue
 		}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -310,3 +310,17 @@
 		m.Report(0, Outcome{Server: "s000", Result: Failed})
 	}
 }
+
+// Guards against a busy server that is chosen although an idle one is among as
+// few as are compared. Seen with two servers and eight draws with replacement.
+func TestChooseComparesAllOfFew(t *testing.T) {
+	for seed := int64(0); seed < 2000; seed++ {
+		m := New(Config{Choices: 4}, rand.New(rand.NewSource(seed)))
+		m.SetServers(0, []Server{{Name: "busy", Blocks: 100}, {Name: "idle", Blocks: 100}})
+		m.Hint(0, message.LoadHint{BackendServer: "busy", TotalBlocks: 100, FreeBlocks: 10}, 0)
+		m.Hint(0, message.LoadHint{BackendServer: "idle", TotalBlocks: 100, FreeBlocks: 90}, 0)
+		if got, ok := m.Choose(0, Query{Blocks: 1}); !ok || got != "idle" {
+			t.Fatalf("seed %d: chose %q", seed, got)
+		}
+	}
+}
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/evacuation"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
@@ -192,7 +193,7 @@
 		}
 	}
 	a.previous = present
-	if !s.Leaving || len(runs) == 0 {
+	if !s.Leaving || len(runs) == 0 || !a.canMove() {
 		return
 	}
 	left := unknownNotice
@@ -226,23 +227,36 @@
 	return list
 }
 
-// memory returns the declared memory of a server.
-func (a *Agent) memory(v *fleet.View) int {
+// engine returns what is declared of the engines of the service, nil when
+// nothing is.
+func (a *Agent) engine(v *fleet.View) *desired.Engine {
 	if v.Table == nil {
-		return 0
+		return nil
 	}
-	if s := v.Table.Service(a.options.Service); s != nil && s.Engine != nil {
-		return s.Engine.MemoryTokens
+	if s := v.Table.Service(a.options.Service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// canMove tells whether generations can be moved. Without a declaration it is
+// tried: a refusal costs less than a lost generation.
+func (a *Agent) canMove() bool {
+	e := a.engine(a.options.Fleet.View())
+	return e == nil || e.CanMove
+}
+
+// memory returns the declared memory of a server.
+func (a *Agent) memory(v *fleet.View) int {
+	if e := a.engine(v); e != nil {
+		return e.MemoryTokens
 	}
 	return 0
 }
 
 func (a *Agent) link() evacuation.Link {
-	v := a.options.Fleet.View()
-	if v.Table != nil {
-		if s := v.Table.Service(a.options.Service); s != nil && s.Engine != nil {
-			return evacuation.Link{BytesPerToken: s.Engine.BytesPerToken, Mbps: s.Engine.LinkMbps}
-		}
+	if e := a.engine(a.options.Fleet.View()); e != nil {
+		return evacuation.Link{BytesPerToken: e.BytesPerToken, Mbps: e.LinkMbps}
 	}
 	return evacuation.Link{}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,8 +80,6 @@
 	// WriteForward removes what only the system may set and adds what it does.
 	WriteForward(http.Header, Forward)
 	ReadAnswer(status int, header http.Header) Answer
-	// Unsealed removes the marks of a server's own response.
-	Unsealed(http.Header)
 }
 
 // Evacuator tells where a generation goes on that stopped at a server.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -72,7 +72,6 @@
 func (testDialect) ReadAnswer(_ int, h http.Header) Answer {
 	return Answer{ID: h.Get("T-Id"), Sealed: h.Get("T-Seal") != "", NotRun: h.Get("T-Not-Run") != "", Encoded: h.Get("Content-Encoding") != ""}
 }
-func (testDialect) Unsealed(h http.Header) { h.Del("T-Seal") }
 
 // testServer is a backend server that answers with a function.
 type testServer struct {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -40,7 +40,6 @@
 	says    Request
 	route   *desired.Route
 	caller  *desired.Caller
-	version uint64
 	service string
 	prio    int
 	blocks  int
@@ -89,7 +88,6 @@
 		x.refuse("no desired state is known", verdict.ReasonNotReady)
 		return false
 	}
-	x.version = view.Version
 	x.logger = x.logger.With(zap.Uint64("revision", view.Version), zap.Duration("confirmed_age", age))
 	x.route = view.Table.Route(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
@@ -288,7 +286,9 @@
 
 // fail sends an answer of the system's own.
 func (x *exchange) fail(status int, v verdict.Verdict, text string, reason verdict.Reason, retryAfter time.Duration) {
-	x.g.metrics.failed.Add(1)
+	if v != verdict.NotRun {
+		x.g.metrics.failed.Add(1)
+	}
 	x.logger.Info("request not served", zap.Int("status", status), zap.String("reason", string(reason)), zap.String("detail", text),
 		zap.String("verdict", v.String()), zap.String("route", x.routeName()), zap.Duration("retry_after_seconds", retryAfter))
 	header := http.Header{}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -59,6 +59,9 @@
 	for {
 		hold, room, err := x.g.options.Reserver.Reserve(ctx, server, x.tokens())
 		if err == nil && room {
+			if server.ID != first.ID {
+				x.settle(first.ID, placement.Canceled)
+			}
 			return server, hold, true
 		}
 		if asked++; asked == 1 || err != nil {
@@ -92,7 +95,7 @@
 	}
 	t := x.g.table()
 	service := t.Service(x.service)
-	return service != nil && service.Engine != nil
+	return service != nil && service.Engine != nil && service.Engine.CanReserve
 }
 
 // tokens is the memory that the generation is expected to take.
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -48,7 +48,7 @@
 	b.gateway.options.Dialect, b.gateway.options.Reserver = sizedDialect{}, reserver
 	b.fleet.set(func(f *testFleet) {
 		state := *f.view.Table.State
-		state.Services = []desired.Service{{Name: "s", Engine: &desired.Engine{MemoryTokens: 30000}}}
+		state.Services = []desired.Service{{Name: "s", Engine: &desired.Engine{MemoryTokens: 30000, CanReserve: true}}}
 		f.view = &fleet.View{Table: desired.NewTable(&state), Version: 1, Servers: f.view.Servers}
 	})
 	return b
@@ -85,6 +85,21 @@
 	}
 }
 
+// Guards against generations that wait in vain for a reservation on a platform
+// whose engines take none.
+func TestEnginesWithoutReservations(t *testing.T) {
+	reserver := &testReserver{}
+	b := newSizedBed(t, reserver, newTestServer(t, streamHold))
+	b.fleet.set(func(f *testFleet) {
+		state := *f.view.Table.State
+		state.Services = []desired.Service{{Name: "s", Engine: &desired.Engine{MemoryTokens: 30000}}}
+		f.view = &fleet.View{Table: desired.NewTable(&state), Version: 2, Servers: f.view.Servers}
+	})
+	if status, _, body, err := b.call("/stream/x"); err != nil || status != 200 || body != "data: i-0 \n\n" || len(reserver.asked) > 0 {
+		t.Errorf("%d %q %v, asked %v", status, body, err, reserver.asked)
+	}
+}
+
 // Guards against reservations of plain requests, which need no memory.
 func TestPlainRequestReservesNothing(t *testing.T) {
 	reserver := &testReserver{}
