Remove a lost member when a learner can take its place

Cause: reading the roster showed that a group with five voters and more members never removed a lost voter: only voters counted as running, four of the five needed. Ruled out: raising the number of voters, which costs each commit a wider quorum. Change: learners that run count, since they vote once there is a place. Figures: two new cases of TestRemove failed before and pass now.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -64,13 +64,14 @@
 }
 
 // Remove returns the member to remove now, 0 when there is none. Minimum is the
-// number of voters below which the group does not shrink, because it could no
-// longer bear the losses that it is meant to bear.
+// number of running members below which the group does not shrink, because it
+// could no longer bear the losses that it is meant to bear.
 func (k *Keeper) Remove(now time.Duration, self consensus.MemberID, members []consensus.Member, minimum int) consensus.MemberID {
 	alive, newest := 0, time.Duration(-1)
 	for _, m := range members {
 		running := m.ID == self || now-k.lastHeard(m.Address) < replacedAfter
-		if running && !m.Learner {
+		if running {
+			// A learner that runs votes as soon as there is a place for it.
 			alive++
 		}
 		if at, ok := k.joined[m.ID]; ok && running {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -27,6 +27,12 @@
 	return list
 }
 
+// learner makes one member a learner.
+func learner(list []consensus.Member, id consensus.MemberID) []consensus.Member {
+	list[id-1].Learner = true
+	return list
+}
+
 // Guards against a member that stays in the group for good after another took
 // its place, so that the next loss stops the group; and against removing one
 // that is only frozen, or so many that the group bears no loss any more.
@@ -49,6 +55,9 @@
 		{"replaced a moment ago", members("a", "b", "c", "d"), map[string]float64{"c": 97}, map[consensus.MemberID]float64{4: 98}, 100, 3, 0},
 		{"silent after the last one joined", members("a", "b", "c", "d"), map[string]float64{"c": 95}, map[consensus.MemberID]float64{4: 90}, 100, 3, 0},
 		{"two silent, too few left", members("a", "b", "c", "d"), map[string]float64{"c": 75, "d": 75}, nil, 100, 3, 0},
+		{"replaced, while the newcomer can not vote yet", learner(members("a", "b", "c", "d", "e", "f"), 6), map[string]float64{"c": 95}, map[consensus.MemberID]float64{6: 96}, 100, 5, 3},
+		{"silent for good with learners to take its place", learner(members("a", "b", "c", "d", "e", "f"), 6), map[string]float64{"c": 75}, nil, 100, 5, 3},
+		{"silent for good without learners", members("a", "b", "c", "d", "e"), map[string]float64{"c": 75}, nil, 100, 5, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			k := NewKeeper(0)
