Keep the reading time of an unchanged list on all control members

Cause: reading the code showed that members other than the leader took over the list's time only when the list changed.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -112,11 +112,7 @@
 		member = ""
 	}
 	c.follower = NewFollower(FollowerOptions{Seeds: options.Seeds, Codec: options.Codec, Pool: options.Pool, Logger: options.Logger, Member: member})
-	c.follower.OnChange(func(v *View) {
-		if at := c.follower.listRead.Load(); at != 0 {
-			c.board.copy(v, time.Duration(at))
-		}
-	})
+	c.follower.OnChange(func(*View) { c.copyList() })
 	return c, errors.Wrap(options.Server.Register(ServiceName, &service{c}), "register the fleet service")
 }
 
@@ -207,13 +203,23 @@
 	})
 }
 
-// runLeader tells the follower whom to watch.
+// copyList takes over the list that the follower got from the leader, and the
+// time at which it was read.
+func (c *Control) copyList() {
+	if at := c.follower.listRead.Load(); at != 0 && !c.leads() {
+		c.board.copy(c.follower.View(), time.Duration(at))
+	}
+}
+
+// runLeader tells the follower whom to watch. It also keeps the time at which
+// an unchanged list was read.
 func (c *Control) runLeader(ctx context.Context) {
 	every(ctx, leaderInterval, func() {
 		address, _ := c.node.Load().Leader()
 		if address != c.follower.View().Leader {
 			c.follower.SetLeader(address)
 		}
+		c.copyList()
 	})
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -429,3 +429,29 @@
 	eventually(t, "the daemon has the newer state", func() bool { return f.View().Version == 2 })
 	eventually(t, "the lease is renewed", func() bool { age, ok := f.ConfirmedAge(); return ok && age < time.Second })
 }
+
+// Guards against daemons that take an unchanged list for an old one, and then
+// all call the platform.
+func TestUnchangedListStaysFresh(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	age := func(m *testMember) time.Duration {
+		var reply WatchReply
+		m.board.fill(Stamp{}, Elapsed(), &reply)
+		if !reply.HasList {
+			return time.Hour
+		}
+		return reply.ListAge
+	}
+	for _, m := range g.members {
+		eventually(t, "the member has the list", func() bool { return age(m) < time.Second })
+	}
+	time.Sleep(listFallbackAge + time.Second)
+	for address, m := range g.members {
+		if got := age(m); got >= listFallbackAge {
+			t.Errorf("member %s has a list of %v ago", address, got)
+		}
+	}
+}
