Do not prefer a control member whose watch failed a moment ago

Cause: reading showed that a daemon whose near control member is lost went back to it for each second watch, about a second each; and the leader logged lost contact, because its own follower has nobody to watch. Ruled out: a shorter time limit of watches, which slow hosts would exceed. Change: a member whose watch failed is not preferred for 3 s; a follower without anybody to watch logs nothing.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -455,3 +455,25 @@
 		}
 	}
 }
+
+// Guards against a daemon that returns to the lost member of its own failure
+// domain for each second watch and learns of changes late.
+func TestFollowerAvoidsALostMemberOfItsDomain(t *testing.T) {
+	f := NewFollower(FollowerOptions{FailureDomain: "a", Seeds: func() []string { return nil }, Logger: zap.NewNop()})
+	v := &View{Members: []string{"near", "far"}}
+	f.view.Store(v)
+	f.domains["near"], f.domains["far"] = "a", "b"
+	if got := f.next(); got != "near" {
+		t.Errorf("watches %q, want the member of its own domain", got)
+	}
+	f.asked, f.failed["near"] = "far", Elapsed()
+	f.lookNearer(v, "b")
+	if got := f.next(); got != "far" {
+		t.Errorf("watches %q, which failed a moment ago", got)
+	}
+	f.failed["near"] = Elapsed() - failedLife
+	f.lookNearer(v, "b")
+	if got := f.next(); got != "near" {
+		t.Errorf("watches %q, want the member of its own domain again", got)
+	}
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -20,6 +20,8 @@
 	watchWait  = 400 * time.Millisecond
 	watchGrace = 500 * time.Millisecond
 	lazyWait   = 1500 * time.Millisecond
+	// failedLife is how long a member whose watch failed is not preferred.
+	failedLife = 3 * time.Second
 	// watchRetry is the pause after a failed watch.
 	watchRetry = 50 * time.Millisecond
 	// staleConfirmation is the age of a member's last quorum confirmation from
@@ -77,8 +79,10 @@
 	asked               string
 	// domains are the failure domains of the members that answered.
 	domains map[string]string
-	lost    bool
-	lostAt  time.Duration
+	// failed are the times at which watches of members failed.
+	failed map[string]time.Duration
+	lost   bool
+	lostAt time.Duration
 
 	mu        sync.Mutex
 	listeners []func(*View)
@@ -86,7 +90,7 @@
 
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(options FollowerOptions) *Follower {
-	f := &Follower{options: options, domains: map[string]string{}, rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
+	f := &Follower{options: options, domains: map[string]string{}, failed: map[string]time.Duration{}, rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
 	f.view.Store(&View{})
 	return f
 }
@@ -135,15 +139,15 @@
 	}
 	for ctx.Err() == nil {
 		address := f.next()
-		err := errors.New("no control member is known")
 		if address != "" {
-			err = f.watch(ctx, address)
+			err := f.watch(ctx, address)
+			f.logContact(address, err)
+			if err == nil {
+				continue
+			}
+			f.failed[address] = Elapsed()
+			f.asked = ""
 		}
-		f.logContact(address, err)
-		if err == nil {
-			continue
-		}
-		f.asked = ""
 		select {
 		case <-ctx.Done():
 		case <-time.After(watchRetry):
@@ -165,7 +169,8 @@
 }
 
 // next returns the member to watch: the one that answered last, or one drawn
-// from the known members and the seeds.
+// from the known members and the seeds. It is empty while none is known, and
+// for the leader's own follower.
 func (f *Follower) next() string {
 	v := f.view.Load()
 	if f.options.Member != "" {
@@ -178,7 +183,7 @@
 		return f.asked
 	}
 	for _, member := range v.Members {
-		if f.domains[member] == f.options.FailureDomain && f.options.FailureDomain != "" && f.rng.Intn(2) == 0 {
+		if f.domains[member] == f.options.FailureDomain && f.options.FailureDomain != "" && !f.failedLately(member) {
 			f.asked = member
 			return f.asked
 		}
@@ -191,6 +196,13 @@
 	return f.asked
 }
 
+// failedLately tells whether a watch of a member failed a moment ago. A member
+// without power costs each watch about a second.
+func (f *Follower) failedLately(member string) bool {
+	at, failed := f.failed[member]
+	return failed && Elapsed()-at < failedLife
+}
+
 // watch makes one call and takes over what is newer.
 func (f *Follower) watch(ctx context.Context, address string) error {
 	v := f.view.Load()
@@ -239,7 +251,7 @@
 	}
 	for _, member := range v.Members {
 		domain, known := f.domains[member]
-		if !known || domain == f.options.FailureDomain {
+		if (!known || domain == f.options.FailureDomain) && !f.failedLately(member) {
 			f.asked = member
 			f.domains[member] = domain
 			return
