Say which settings -platform lacks

Cause: without settings the daemon ended with "read : open : no such file". Change: it names the flag and the variable and exits with code 2.

--- a/cmd/arbutusmast/main.go
+++ b/cmd/arbutusmast/main.go
@@ -74,6 +74,10 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
+	if path == "" {
+		fmt.Fprintf(os.Stderr, "-platform needs settings: neither -config nor $%s names a file\n", platform.SettingsVariable)
+		return exitUsage
+	}
 	pipe := observe.NewPipe(os.Stdout)
 	defer pipe.Close()
 	logger, err := observe.NewLogger(pipe, "info")
