--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -41,7 +41,7 @@
 	// retryShareEntries is the number of entries that the slack of the retry
 	// budget is divided by; the largest deployment so far has 33.
 	retryShareEntries = 40
-	// retryRatioShare keeps the sum over entries below the bound when consumers
+	// retryRatioShare keeps the sum over entries below the bound when callers
 	// move between entries.
 	retryRatioShare = 0.6
 )
