Log when a stream ends and whether it was late

Change: an entry logs the time to the first event and the longest pause at the end of a stream, late ones under a message of their own, and counts them.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -84,9 +84,9 @@
 		x.gone(err)
 		return
 	}
-	events := &eventReader{in: u.response.Body}
+	events, pace := &eventReader{in: u.response.Body}, pace{last: x.r.arrived}
 	for resumes := 0; ; resumes++ {
-		sent, err := x.pass(events)
+		sent, err := x.pass(events, &pace)
 		switch {
 		case !sent:
 			x.settle(u.server.ID, placement.Canceled)
@@ -94,6 +94,7 @@
 			return
 		case errors.Is(err, io.EOF):
 			x.settle(u.server.ID, placement.Completed)
+			x.logEnd(u, events, &pace, resumes)
 			if err := x.rep.end(); err != nil {
 				x.gone(err)
 			}
@@ -118,14 +119,45 @@
 	}
 }
 
+// pace is when the events of a stream came.
+type pace struct {
+	// last is the time of the last event, before the first that of the request.
+	last time.Time
+	// first is the time to the first event, longest the longest pause after it.
+	first, longest time.Duration
+}
+
+func (p *pace) note(now time.Time) {
+	since := now.Sub(p.last)
+	p.last = now
+	if p.first == 0 {
+		p.first = since
+		return
+	}
+	p.longest = max(p.longest, since)
+}
+
+// logEnd tells whether a whole answer was on time. Late ones are logged by a
+// message of their own, so that sampling does not drop them among the others.
+func (x *exchange) logEnd(u *upstream, events *eventReader, p *pace, resumes int) {
+	message := "stream ended"
+	if x.route.Objective > 0 && p.first > x.route.Objective || x.route.MaxGap > 0 && p.longest > x.route.MaxGap {
+		message = "stream ended late"
+		x.g.metrics.late.Add(1)
+	}
+	x.logger.Info(message, zap.String("backend_server", u.server.ID), zap.String("route", x.route.Name), zap.Int("events", events.events),
+		zap.Int("resumes", resumes), zap.Duration("first_event_seconds", p.first), zap.Duration("longest_pause_seconds", p.longest))
+}
+
 // pass passes events on until the stream ends. Sent is false when the caller
 // did not take them.
-func (x *exchange) pass(events *eventReader) (sent bool, err error) {
+func (x *exchange) pass(events *eventReader, p *pace) (sent bool, err error) {
 	for {
 		whole, err := events.next()
 		if err != nil {
 			return true, err
 		}
+		p.note(time.Now())
 		if err := x.rep.write(whole); err != nil {
 			return false, err
 		}
