Hold back requests that crash one backend server after another

Ruled out: holding back after two crashes, as agents do that know all that a server ran; entries see their own requests only. Counting broken connections without a second look: grey servers and garbled answers break off as well. Change: an entry confirms a crash by calling the server again and reports the request's digest; the leader counts distinct servers in the existing quarantine table and spreads suspects with the list.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -112,16 +112,9 @@
 // Crash records a crash of a backend server with digests in flight. A crash id
 // that was seen before counts once.
 func (t *Table) Crash(now time.Duration, id string, inFlight []string) {
-	t.Expire(now)
-	if id == "" || t.crashKnown[id] {
+	if !t.first(now, id) {
 		return
 	}
-	t.crashKnown[id] = true
-	t.crashes = append(t.crashes, id)
-	if len(t.crashes) > MaxCrashIDs {
-		delete(t.crashKnown, t.crashes[0])
-		t.crashes = t.crashes[1:]
-	}
 	digests := unique(inFlight)
 	suspects := 0
 	for _, d := range digests {
@@ -134,6 +127,66 @@
 	}
 }
 
+// CrashAmongOthers records that a digest was in flight at a crash of a backend
+// server whose other requests are not known. Id names the pair of both.
+func (t *Table) CrashAmongOthers(now time.Duration, id, digest string) {
+	if t.first(now, id) && digest != "" {
+		t.suspect(now, digest, false)
+	}
+}
+
+// first tells whether a crash id is new, and keeps it.
+func (t *Table) first(now time.Duration, id string) bool {
+	t.Expire(now)
+	if id == "" || t.crashKnown[id] {
+		return false
+	}
+	t.crashKnown[id] = true
+	t.crashes = append(t.crashes, id)
+	if len(t.crashes) > MaxCrashIDs {
+		delete(t.crashKnown, t.crashes[0])
+		t.crashes = t.crashes[1:]
+	}
+	return true
+}
+
+// seriousCrashes is the number of crashes from which a suspect is told to
+// others: one crash makes suspects of all that the server was at work on.
+const seriousCrashes = 2
+
+// Serious returns at most limit digests that are held back or were in flight at
+// more than one crash, the newest first.
+func (t *Table) Serious(now time.Duration, limit int) []message.Quarantine {
+	t.Expire(now)
+	var told []message.Quarantine
+	for _, l := range []*list.List{t.quarantined, t.suspects} {
+		for e := l.Back(); e != nil && len(told) < limit; e = e.Prev() {
+			if entry := e.Value.(*Entry); entry.Crashes >= seriousCrashes {
+				told = append(told, entry.reply(now))
+			}
+		}
+	}
+	return told
+}
+
+// Adopt returns a table that begins with what another told by Serious.
+func Adopt(now time.Duration, told []message.Quarantine) *Table {
+	t := NewTable()
+	for i := len(told) - 1; i >= 0; i-- {
+		q := told[i]
+		if q.For <= 0 {
+			continue
+		}
+		t.sequence++
+		entry := &Entry{Digest: q.Digest, Sequence: t.sequence, Crashes: seriousCrashes, Quarantined: !q.Suspect, Expires: now + q.For}
+		if entry.Quarantined {
+			entry.Crashes = SharedCrashes
+		}
+		t.entries[q.Digest] = t.listOf(entry.Quarantined).PushBack(entry)
+	}
+	return t
+}
+
 func unique(digests []string) []string {
 	seen := map[string]bool{}
 	var out []string
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -92,3 +92,31 @@
 		t.Fatal("an image read back differs")
 	}
 }
+
+// Guards against an innocent request that is held back because it shared two
+// crashed servers, whose other requests are not known; against several reports
+// of one crash that count more than once; and against a table that a new leader
+// begins without what the last one told.
+func TestCrashAmongOthers(t *testing.T) {
+	tb := NewTable()
+	for i, server := range []string{"i-1", "i-1", "i-2"} {
+		tb.CrashAmongOthers(time.Duration(i)*time.Second, server+" a", "a")
+	}
+	tb.CrashAmongOthers(time.Second, "i-1 b", "b")
+	if got := tb.Serious(3*time.Second, 10); len(got) != 1 || got[0].Digest != "a" || !got[0].Suspect {
+		t.Fatalf("after two crashes: %+v, want a as a suspect", got)
+	}
+	tb.Succeeded(3*time.Second, []string{"b"})
+	tb.CrashAmongOthers(4*time.Second, "i-3 a", "a")
+	told := tb.Serious(5*time.Second, 10)
+	if len(told) != 1 || told[0].Suspect {
+		t.Fatalf("after three crashes: %+v, want a held back", told)
+	}
+	next := Adopt(time.Hour, told)
+	if q, known := next.Lookup(time.Hour, "a"); !known || q.Suspect || q.For > QuarantineFor {
+		t.Errorf("adopted: %+v, %v", q, known)
+	}
+	if _, known := next.Lookup(2*time.Hour, "a"); known {
+		t.Error("the adopted table holds the digest back for longer than the first one")
+	}
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -151,7 +151,7 @@
 		Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Logger: h.logger, FailureDomain: s.FailureDomain})
 	g := gateway.New(gateway.Options{
 		Fleet: follower, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
-		Evacuator: &evacuate.Locator{Pool: h.pool, AgentBeside: s.AgentBeside}, Reserver: platform.NewReserver(),
+		Evacuator: &evacuate.Locator{Pool: h.pool, AgentBeside: s.AgentBeside}, Reserver: platform.NewReserver(), Crashes: follower,
 		Regions: failuredomain.NewMap(s.Regions), LeaseLimit: time.Duration(float64(s.RevokeBound) * leaseShare),
 		RetryRatio: s.RetryRatio * retryRatioShare, RetrySlack: s.RetrySlack / retryShareEntries, RetryWindow: s.RetryWindow,
 		Logger: h.logger, Metrics: h.metrics,
@@ -198,7 +198,7 @@
 }
 
 func (h *hosted) runControl(ctx context.Context, s *platform.Settings) error {
-	peers, err := net.Listen("tcp", s.PeerAddress())
+	peers, err := net.Listen("tcp", s.ListenForPeers(s.PeerAddress()))
 	if err != nil {
 		return errors.Wrap(err, "listen for daemons")
 	}
@@ -220,7 +220,7 @@
 }
 
 func (h *hosted) runAgent(ctx context.Context, s *platform.Settings) error {
-	peers, err := net.Listen("tcp", s.AgentAddress())
+	peers, err := net.Listen("tcp", s.ListenForPeers(s.AgentAddress()))
 	if err != nil {
 		return errors.Wrap(err, "listen for entries")
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -8,6 +8,7 @@
 
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/placement"
+	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/verdict"
 )
 
@@ -125,7 +126,7 @@
 // with the prefix in its cache answers sooner.
 func (g *generation) prefixKey() string {
 	text := append(append([]byte(nil), g.body.Messages...), g.body.Prompt...)
-	return digestParts([]byte(g.route.Model), text[:min(len(text), prefixBytes)])
+	return quarantine.Digest([]byte(g.route.Model), text[:min(len(text), prefixBytes)])
 }
 
 func (g *generation) priority() int { return g.caller.Priority + g.route.Priority }
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -14,6 +14,7 @@
 	"arbutusmast.example/arbutusmast/core/contract"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/placement"
+	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/verdict"
 )
 
@@ -87,7 +88,7 @@
 // digest covers what the engine sees of the request, so that the same request
 // has the same digest for each caller and each time it is sent.
 func (g *generation) digest() string {
-	return digestParts([]byte(g.route.Model), compactJSON(g.body.Prompt), compactJSON(g.body.Messages))
+	return quarantine.Digest([]byte(g.route.Model), compactJSON(g.body.Prompt), compactJSON(g.body.Messages))
 }
 
 // compactJSON drops white space, which does not reach the engine.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -12,6 +12,7 @@
 	"arbutusmast.example/arbutusmast/core/contract"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/placement"
+	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/verdict"
 	"github.com/go-chi/chi/v5"
 )
@@ -78,7 +79,7 @@
 	c := &plainCall{entry: e, id: id, caller: caller, service: service, repeatable: service.Repeatable(r.Method, target)}
 	c.request = message.ForwardRequest{
 		Caller: caller.Name, Service: service.Name, Priority: caller.Priority,
-		Digest: digestParts([]byte(r.Method), []byte(target), []byte(r.URL.RawQuery), body),
+		Digest: quarantine.Digest([]byte(r.Method), []byte(target), []byte(r.URL.RawQuery), body),
 		Method: r.Method, Path: (&url.URL{Path: target}).EscapedPath(), RawQuery: r.URL.RawQuery, HTTPHeader: forwardHeader(r.Header), Body: body, Timeout: service.Timeout,
 	}
 	key := r.Header.Get(keyHeader)
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"io"
@@ -54,18 +53,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// digestParts returns a digest that no other list of parts has.
-func digestParts(parts ...[]byte) string {
-	h := sha256.New()
-	var size [8]byte
-	for _, p := range parts {
-		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
-		h.Write(size[:])
-		h.Write(p)
-	}
-	return hex.EncodeToString(h.Sum(nil))
-}
-
 // readBody reads a bounded body.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBodyBytes))
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/core/quarantine"
 )
 
 // reportLife is how long a report counts without a newer one.
@@ -21,6 +23,10 @@
 	readAt  time.Duration
 	list    backend.List
 	reports map[string]timedReport
+	// suspects are kept by the leader; told is what other members copy.
+	suspects *quarantine.Table
+	told     []message.Quarantine
+	toldAt   time.Duration
 	// dirty tells that loads changed since the stamp did.
 	dirty bool
 	news  chan struct{}
@@ -69,6 +75,43 @@
 	b.wake()
 }
 
+// maxTold bounds the suspected requests in a reply to about 25 KB.
+const maxTold = 256
+
+// crashed takes observations of crashes. The lock is not held.
+func (b *board) crashed(r *CrashRequest, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.suspects == nil {
+		// An earlier leader's table is lost but for what it told.
+		b.suspects = quarantine.Adopt(now, aged(b.told, now-b.toldAt))
+	}
+	for _, c := range r.Crashes {
+		b.suspects.CrashAmongOthers(now, c.Server+" "+c.Digest, c.Digest)
+	}
+	b.suspects.Succeeded(now, r.Cleared)
+	told := b.suspects.Serious(now, maxTold)
+	changed := len(told) != len(b.told)
+	for i := 0; !changed && i < len(told); i++ {
+		changed = told[i].Digest != b.told[i].Digest || told[i].Suspect != b.told[i].Suspect
+	}
+	b.told, b.toldAt = told, now
+	if changed {
+		b.publish(false)
+	}
+}
+
+// aged returns a list as it is some time later.
+func aged(told []message.Quarantine, by time.Duration) []message.Quarantine {
+	var list []message.Quarantine
+	for _, q := range told {
+		if q.For -= by; q.For > 0 {
+			list = append(list, q)
+		}
+	}
+	return list
+}
+
 // read takes a list that the leader read, which began at a reading of Elapsed.
 func (b *board) read(servers []backend.Server, began time.Duration) {
 	b.mu.Lock()
@@ -120,6 +163,7 @@
 	}
 	b.has, b.readAt, b.stamp = true, readAt, v.list
 	b.list = backend.List{Servers: v.Servers, Reports: v.Reports}
+	b.suspects, b.told, b.toldAt = nil, v.told, v.toldAt
 	b.wake()
 }
 
@@ -133,6 +177,7 @@
 	reply.HasList, reply.List, reply.ListAge = true, b.stamp, now-b.readAt
 	if b.stamp != have {
 		reply.Servers, reply.Reports = b.list.Servers, b.list.Reports
+		reply.Quarantine = aged(b.told, now-b.toldAt)
 	}
 }
 
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -9,6 +9,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -48,8 +49,28 @@
 
 	list   Stamp
 	packed []byte
+	// told are the suspected requests as of a reading of Elapsed.
+	told   []message.Quarantine
+	toldAt time.Duration
 }
 
+// Quarantined tells whether a request is suspected of crashing backend servers,
+// and for how much longer it is held back.
+func (v *View) Quarantined(digest string) (held time.Duration, suspect bool) {
+	for _, q := range v.told {
+		if left := q.For - (Elapsed() - v.toldAt); q.Digest == digest && left > 0 {
+			if q.Suspect {
+				return 0, true
+			}
+			return left, true
+		}
+	}
+	return 0, false
+}
+
+// Suspects tells whether any request is suspected.
+func (v *View) Suspects() bool { return len(v.told) > 0 }
+
 // FollowerOptions holds the parameters of a Follower.
 type FollowerOptions struct {
 	// Seeds returns the peer addresses to begin with.
@@ -281,6 +302,7 @@
 	if reply.HasList && raise(&f.listRead, sent+reply.Held-reply.ListAge) && reply.Servers != nil {
 		list := backend.List{Servers: reply.Servers, Reports: reply.Reports}
 		next.Servers, next.Reports, next.list = list.Merge(), reply.Reports, reply.List
+		next.told, next.toldAt = reply.Quarantine, Elapsed()
 		changed = true
 	}
 	if len(reply.Members) > 0 {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -5,6 +5,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/consensus"
+	"arbutusmast.example/arbutusmast/core/message"
 )
 
 // ServiceName is the net/rpc service of the control members.
@@ -46,6 +47,9 @@
 	ListAge time.Duration
 	Servers []backend.Server
 	Reports map[string]backend.Report
+	// Quarantine holds the requests that are suspected of crashing backend
+	// servers; like Servers it is sent when the stamp differs.
+	Quarantine []message.Quarantine
 	// Members and Leader are peer addresses of the control group.
 	Members []string
 	Leader  string
@@ -84,5 +88,15 @@
 // ReportRequest is an observation made beside a backend server.
 type ReportRequest struct{ Report backend.Report }
 
+// CrashRequest tells of requests that were under way when their backend server
+// crashed, and of suspected ones that succeeded.
+type CrashRequest struct {
+	Crashes []Crash
+	Cleared []string
+}
+
+// Crash is one request, by digest, at the crash of one start of a server.
+type Crash struct{ Server, Digest string }
+
 // ReportReply names the leader when the report was sent to another member.
 type ReportReply struct{ Leader string }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -235,6 +235,19 @@
 	return nil
 }
 
+// Crashed takes observations of crashes that entries made.
+func (s *service) Crashed(request *CrashRequest, reply *ReportReply) error {
+	c := s.control
+	if !c.leads() {
+		if node := c.node.Load(); node != nil {
+			reply.Leader, _ = node.Leader()
+		}
+		return nil
+	}
+	c.board.crashed(request, Elapsed())
+	return nil
+}
+
 // Join gives an id to a new member and adds it to the group. An earlier member
 // at the same address lost its disk, or it would not ask, and is removed first.
 func (s *service) Join(request *JoinRequest, reply *JoinReply) error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,8 +110,10 @@
 	Fleet   Fleet
 	Dialect Dialect
 	// Evacuator and Reserver may be nil.
-	Evacuator     Evacuator
-	Reserver      Reserver
+	Evacuator Evacuator
+	Reserver  Reserver
+	// Crashes may be nil.
+	Crashes       Crashes
 	Name          string
 	FailureDomain string
 	Regions       failuredomain.Map
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -47,7 +47,9 @@
 	deadline time.Time
 	machine  *dispatch.Machine
 	tried    []string
-	logger   *zap.Logger
+	// suspect tells that the request was under way at crashes of servers.
+	suspect bool
+	logger  *zap.Logger
 }
 
 // handle answers one request.
@@ -57,7 +59,7 @@
 	g.metrics.requests.Add(1)
 	x := &exchange{g: g, r: r, rep: rep, says: g.options.Dialect.ReadRequest(r.Header)}
 	x.logger = g.logger.With(zap.String("request_id", x.says.ID))
-	if !x.admit() {
+	if !x.admit() || x.heldBack() {
 		return
 	}
 	budget := defaultBudget
@@ -154,6 +156,9 @@
 		}
 		body, result, err := x.readPlain(u, result, err)
 		x.account(server, u, result)
+		if result == dispatch.Lost {
+			x.brokeOff(ctx, server)
+		}
 		var action dispatch.Action
 		x.g.services.budgeted(x.service, func(*retry.Budget) {
 			action = x.machine.Ended(x.g.elapsed(), result, x.left())
@@ -234,6 +239,8 @@
 		outcome.Result = placement.Completed
 		if u != nil && x.streams(u) {
 			outcome.Result = placement.Accepted
+		} else {
+			x.succeeded()
 		}
 	case dispatch.Refused:
 		outcome.Result = placement.Refused
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -198,6 +198,13 @@
 	return backend.Server{}, false
 }
 
+// leaves tells whether a server was told to leave.
+func (s *serviceSet) leaves(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[id].Leaving
+}
+
 // budgeted calls a function with the retry budget of a service.
 func (s *serviceSet) budgeted(name string, do func(*retry.Budget)) {
 	s.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,6 +94,7 @@
 			return
 		case errors.Is(err, io.EOF):
 			x.settle(u.server.ID, placement.Completed)
+			x.succeeded()
 			x.logEnd(u, events, &pace, resumes)
 			if err := x.rep.end(); err != nil {
 				x.gone(err)
@@ -107,6 +108,7 @@
 		}
 		x.logBreak(ctx, u, events, err, resumeErr)
 		if resumeErr != nil {
+			x.brokeOff(ctx, u.server)
 			x.g.metrics.aborted.Add(1)
 			x.rep.abort()
 			return
