Explain one request from the logs of all daemons

Cause: getting from the id of a failed request to its cause took a grep, a sort and knowledge of which lines decide. Change: arbutusctl explain ID LOG... prints the deciding lines in words and the time line of the request with the changes on its hosts.

--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,222 @@
+// Package explain finds what the logs of all daemons tell of one request.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxLineBytes bounds one line of a log.
+	maxLineBytes = 1 << 20
+	// before and after bound the changes on the hosts of a request that are shown
+	// with it. A lost control member is noticed within about a second, and a
+	// notice of a backend server lasts one to two.
+	before = 3 * time.Second
+	after  = time.Second
+)
+
+// Line is one line of a log.
+type Line struct {
+	Time    time.Time
+	Host    string
+	Role    string
+	Message string
+	// Request is empty for a line that concerns no single request.
+	Request string
+	// Fields are the other fields in the order of their names.
+	Fields []Field
+}
+
+// Field is one field of a line.
+type Field struct{ Name, Value string }
+
+// Get returns the value of a field, empty when the line has none.
+func (l Line) Get(name string) string {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Report is what the logs tell of one request.
+type Report struct {
+	Request string
+	// Lines are those of the request and the changes on its hosts around it, in
+	// order of time.
+	Lines []Line
+	// Causes are the lines that decided the outcome, in words.
+	Causes []string
+}
+
+// Read reads logs. Lines that are not JSON objects are skipped and counted; text
+// before an object, as a log collector may add, is ignored.
+func Read(in io.Reader) (lines []Line, skipped int, err error) {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			skipped++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, skipped, errors.Wrap(scanner.Err(), "read a log")
+}
+
+func parse(raw []byte) (Line, bool) {
+	start := bytes.IndexByte(raw, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var values map[string]json.RawMessage
+	if json.Unmarshal(raw[start:], &values) != nil {
+		return Line{}, false
+	}
+	var l Line
+	for name, value := range values {
+		text := string(value)
+		var unquoted string
+		if json.Unmarshal(value, &unquoted) == nil {
+			text = unquoted
+		}
+		switch name {
+		case "time":
+			at, err := time.Parse(time.RFC3339Nano, text)
+			if err != nil {
+				return Line{}, false
+			}
+			l.Time = at
+		case "msg":
+			l.Message = text
+		case "host":
+			l.Host = text
+		case "role":
+			l.Role = text
+		case "request_id":
+			l.Request = text
+		case "level":
+		default:
+			l.Fields = append(l.Fields, Field{name, text})
+		}
+	}
+	sort.Slice(l.Fields, func(i, j int) bool { return l.Fields[i].Name < l.Fields[j].Name })
+	return l, l.Message != ""
+}
+
+// Explain returns what the lines tell of a request.
+func Explain(lines []Line, request string) Report {
+	r := Report{Request: request}
+	var first, last time.Time
+	hosts := map[string]bool{}
+	for _, l := range lines {
+		if l.Request != request {
+			continue
+		}
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+		hosts[l.Host] = true
+	}
+	for _, l := range lines {
+		around := l.Request == "" && hosts[l.Host] && l.Time.After(first.Add(-before)) && l.Time.Before(last.Add(after))
+		if l.Request == request || around {
+			r.Lines = append(r.Lines, l)
+		}
+	}
+	sort.SliceStable(r.Lines, func(i, j int) bool { return r.Lines[i].Time.Before(r.Lines[j].Time) })
+	for _, l := range r.Lines {
+		if cause := cause(l); cause != "" {
+			r.Causes = append(r.Causes, cause)
+		}
+	}
+	return r
+}
+
+// cause puts a line that decides an outcome into words.
+func cause(l Line) string {
+	if l.Request == "" {
+		switch l.Message {
+		case "notice of the backend server changed":
+			if l.Get("leaving") == "true" {
+				return fmt.Sprintf("the backend server beside %s was told to leave within %s s, with %s generations", l.Host, l.Get("leaves_in_seconds"), l.Get("runs"))
+			}
+		case "lost contact with a control member", "draining":
+			return fmt.Sprintf("%s: %s", l.Host, l.Message)
+		}
+		return ""
+	}
+	switch l.Message {
+	case "attempt ended":
+		if result := l.Get("result"); result != "answered" {
+			return fmt.Sprintf("%s: the attempt at %s ended with %s (status %s), then %s: %s", l.Host, l.Get("backend_server"), result, l.Get("status"), l.Get("action"), l.Get("error"))
+		}
+	case "request not served":
+		return fmt.Sprintf("%s answered %s itself (%s): %s", l.Host, l.Get("status"), l.Get("reason"), l.Get("detail"))
+	case "no room at a backend server", "generation queues without a reservation":
+		return fmt.Sprintf("%s: %s %s", l.Host, l.Message, l.Get("backend_server"))
+	case "generation moved":
+		if failure := l.Get("error"); failure != "" {
+			return fmt.Sprintf("%s could not move the generation to %s with %s s left: %s", l.Host, l.Get("destination"), l.Get("left_seconds"), failure)
+		}
+		return fmt.Sprintf("%s moved the generation to %s", l.Host, l.Get("destination"))
+	case "no destination for a generation":
+		return fmt.Sprintf("%s found no server with %s free tokens for the generation; the most was %s of %s servers", l.Host, l.Get("tokens"), l.Get("most_free_tokens"), l.Get("destinations"))
+	case "stream broken off by its server":
+		if l.Get("resumed") == "true" {
+			return fmt.Sprintf("%s broke the stream off after event %s; it went on elsewhere", l.Get("backend_server"), l.Get("last_event_id"))
+		}
+		return fmt.Sprintf("%s broke the stream off after event %s (%s); it did not go on elsewhere: %s", l.Get("backend_server"), l.Get("last_event_id"), l.Get("cause"), l.Get("resume_error"))
+	case "stream ended late":
+		return fmt.Sprintf("the answer was late: first event after %s s, longest pause %s s, %s moves", l.Get("first_event_seconds"), l.Get("longest_pause_seconds"), l.Get("resumes"))
+	case "backend server crashed during the request":
+		return fmt.Sprintf("%s crashed during the request", l.Get("backend_server"))
+	case "time is over", "caller gone before the answer", "caller gone during the stream", "the caller did not take the answer":
+		return fmt.Sprintf("%s: %s", l.Host, l.Message)
+	}
+	return ""
+}
+
+// Write prints a report.
+func (r Report) Write(out io.Writer) error {
+	var text strings.Builder
+	if len(r.Lines) == 0 {
+		fmt.Fprintf(&text, "No line tells of request %s. Sampling drops some when there are more than 100 equal messages a second.\n", r.Request)
+	}
+	for i, c := range r.Causes {
+		if i == 0 {
+			text.WriteString("What decided the outcome:\n")
+		}
+		fmt.Fprintf(&text, "  %s\n", c)
+	}
+	for i, l := range r.Lines {
+		if i == 0 {
+			text.WriteString("Lines of the request, and (*) changes on its hosts:\n")
+		}
+		mark := " "
+		if l.Request == "" {
+			mark = "*"
+		}
+		fmt.Fprintf(&text, "%s %s %s/%s: %s", mark, l.Time.UTC().Format("15:04:05.000000"), l.Host, l.Role, l.Message)
+		for _, f := range l.Fields {
+			fmt.Fprintf(&text, " %s=%s", f.Name, f.Value)
+		}
+		text.WriteString("\n")
+	}
+	_, err := io.WriteString(out, text.String())
+	return err
+}
--- a/operator/app.go
+++ b/operator/app.go
@@ -131,7 +131,7 @@
 func commands() []command {
 	return []command{
 		checkCommand, diffCommand, applyCommand, statusCommand, drainCommand, membersCommand,
-		burnCommand, loadCommand, measureCommand, versionCommand,
+		burnCommand, explainCommand, loadCommand, measureCommand, versionCommand,
 	}
 }
 
