Log generations for which no other server has room

Cause: the logs of a cut answer did not tell that its agent had tried nothing, because no destination had room by the reports.

--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -88,6 +88,8 @@
 	mu       sync.Mutex
 	places   map[string]*place
 	previous map[string]bool
+	// stranded are the generations without a destination that were logged.
+	stranded map[string]bool
 	// refused are the destinations that took no copy, and when.
 	refused  map[string]time.Time
 	reported backend.Report
@@ -100,7 +102,7 @@
 
 // New returns an Agent and registers its service.
 func New(options Options, server *wire.Server) (*Agent, error) {
-	a := &Agent{options: options, places: map[string]*place{}, previous: map[string]bool{}, refused: map[string]time.Time{}, slots: make(chan struct{}, concurrentMoves)}
+	a := &Agent{options: options, places: map[string]*place{}, previous: map[string]bool{}, stranded: map[string]bool{}, refused: map[string]time.Time{}, slots: make(chan struct{}, concurrentMoves)}
 	a.metrics = newMetrics(options.Metrics)
 	return a, errors.Wrap(server.Register(ServiceName, &service{a}), "register the evacuation service")
 }
@@ -193,6 +195,11 @@
 		}
 	}
 	a.previous = present
+	for id := range a.stranded {
+		if !present[id] {
+			delete(a.stranded, id)
+		}
+	}
 	if !s.Leaving || len(runs) == 0 || !a.canMove() {
 		return
 	}
@@ -201,13 +208,37 @@
 		left = s.LeavesIn
 	}
 	end := now.Add(left)
-	for _, move := range evacuation.Plan(runs, a.destinations(), a.link(), left-moveReserve) {
+	destinations := a.destinations()
+	moves := evacuation.Plan(runs, destinations, a.link(), left-moveReserve)
+	a.logStranded(runs, moves, destinations, left)
+	for _, move := range moves {
 		p := &place{done: make(chan struct{}), at: now}
 		a.places[move.Run.ID] = p
 		go a.move(ctx, move, p, end)
 	}
 }
 
+// logStranded tells once of each generation for which no destination has room.
+// The lock is held.
+func (a *Agent) logStranded(runs []evacuation.Run, moves []evacuation.Move, destinations []evacuation.Destination, left time.Duration) {
+	planned := map[string]bool{}
+	for _, move := range moves {
+		planned[move.Run.ID] = true
+	}
+	most := 0
+	for _, d := range destinations {
+		most = max(most, d.FreeTokens)
+	}
+	for _, run := range runs {
+		if planned[run.ID] || a.stranded[run.ID] {
+			continue
+		}
+		a.stranded[run.ID] = true
+		a.options.Logger.Info("no destination for a generation", zap.String("request_id", run.ID), zap.Int("tokens", run.Tokens),
+			zap.Int("destinations", len(destinations)), zap.Int("most_free_tokens", most), zap.Duration("left_seconds", left))
+	}
+}
+
 // destinations returns the servers that could take generations.
 func (a *Agent) destinations() []evacuation.Destination {
 	var list []evacuation.Destination
