Predict the length of a generation from estimates and past answers

Change: a model for each route at each entry, a line through the logarithms of estimates and lengths with a spread; 1.5 of the predicted median is reserved.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,6 +134,7 @@
 	logger   *zap.Logger
 	metrics  metrics
 	services serviceSet
+	lengths  lengths
 	started  time.Time
 
 	draining, closing atomic.Bool
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -28,7 +28,7 @@
 	// to a route without a timeout.
 	defaultBudget = time.Minute
 	// outputShare is the part of a generation's largest length that is expected
-	// when the caller gives no hint.
+	// when the caller gives no estimate and nothing is known of the route.
 	outputShare = 0.5
 )
 
@@ -43,6 +43,8 @@
 	service string
 	prio    int
 	blocks  int
+	// expected is the predicted length of the answer in tokens.
+	expected int
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
 	machine  *dispatch.Machine
@@ -108,9 +110,10 @@
 			x.prio = x.caller.Priority
 		}
 	}
-	x.blocks = blocksNeeded(x.says)
+	x.expected = g.lengths.expect(x.route.Name, x.says)
+	x.blocks = blocksNeeded(x.says, x.expected)
 	if left := time.Duration(g.drainEnd.Load()) - g.elapsed(); g.draining.Load() && x.route.Kind == desired.Stream &&
-		!dispatch.FitsDrain(x.says.expectedTokens(), left) {
+		!dispatch.FitsDrain(x.expected, left) {
 		x.refuse("this entry stops before the generation would end", verdict.ReasonLeaving)
 		return false
 	}
@@ -128,20 +131,8 @@
 	return false
 }
 
-// expectedTokens returns the length that the answer is expected to have.
-func (r Request) expectedTokens() int {
-	if r.LengthHint > 0 && r.MaxTokens > 0 {
-		// Hints are often far off; some exceed the declared maximum many times.
-		return min(r.LengthHint, r.MaxTokens)
-	}
-	if r.LengthHint > 0 {
-		return r.LengthHint
-	}
-	return int(float64(r.MaxTokens) * outputShare)
-}
-
-func blocksNeeded(says Request) int {
-	return max(1, (says.PromptTokens+says.expectedTokens())/blockTokens)
+func blocksNeeded(says Request, expected int) int {
+	return max(1, (says.PromptTokens+expected)/blockTokens)
 }
 
 func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -98,7 +98,17 @@
 	return service != nil && service.Engine != nil && service.Engine.CanReserve
 }
 
-// tokens is the memory that the generation is expected to take.
+// reserveShare is the part of the predicted answer for which memory is reserved.
+// Half of the answers exceed the prediction, and an engine preempts those that
+// outgrow their reservation. With 0.6 more generations began in time, but 1.7
+// times as many tokens were read again.
+const reserveShare = 1.5
+
+// tokens is the memory that is reserved for the generation.
 func (x *exchange) tokens() int {
-	return x.says.PromptTokens + min(max(x.says.MaxTokens, x.says.expectedTokens()), x.says.expectedTokens()*3/2)
+	answer := int(float64(x.expected) * reserveShare)
+	if x.says.MaxTokens > 0 {
+		answer = min(answer, x.says.MaxTokens)
+	}
+	return x.says.PromptTokens + answer
 }
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -109,13 +109,30 @@
 	}
 }
 
-// Guards against a hint that is far off and reserves more than any engine has.
+// Guards against a hint that is far off and reserves more than any engine has,
+// and against hints that are trusted although the route's answers contradict.
 func TestExpectedTokens(t *testing.T) {
 	for _, c := range []struct{ hint, most, want int }{{60, 80, 60}, {63000, 2216, 2216}, {0, 80, 40}, {60, 0, 60}, {0, 0, 0}} {
-		if got := (Request{LengthHint: c.hint, MaxTokens: c.most}).expectedTokens(); got != c.want {
+		var l lengths
+		if got := l.expect("r", Request{LengthHint: c.hint, MaxTokens: c.most}); got != c.want {
 			t.Errorf("hint %d of at most %d: %d, want %d", c.hint, c.most, got, c.want)
 		}
 	}
+	var l lengths
+	for i := range 100 {
+		l.observe("r", Request{LengthHint: 10 + 100*(i%20), MaxTokens: 4000}, 700+i)
+	}
+	for _, hint := range []int{10, 1900, 0} {
+		if got := l.expect("r", Request{LengthHint: hint, MaxTokens: 4000}); got < 500 || got > 1000 {
+			t.Errorf("hint %d after a hundred answers of 700 to 800 tokens: %d", hint, got)
+		}
+	}
+	if got := l.expect("r", Request{LengthHint: 1900, MaxTokens: 300}); got != 300 {
+		t.Errorf("%d expected of at most 300", got)
+	}
+	if got := l.expect("other", Request{LengthHint: 10, MaxTokens: 4000}); got != 10 {
+		t.Errorf("the lengths of one route count for another: %d", got)
+	}
 }
 
 // Guards against the load of prompts that come to one engine at once: it reads
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -95,6 +95,7 @@
 		case errors.Is(err, io.EOF):
 			x.settle(u.server.ID, placement.Completed)
 			x.succeeded()
+			x.observeLength(events.events)
 			x.logEnd(u, events, &pace, resumes)
 			if err := x.rep.end(); err != nil {
 				x.gone(err)
@@ -139,6 +140,13 @@
 	p.longest = max(p.longest, since)
 }
 
+// observeLength learns from a whole answer.
+func (x *exchange) observeLength(events int) {
+	if service := x.g.table().Service(x.service); service != nil && service.Engine != nil {
+		x.g.lengths.observe(x.route.Name, x.says, events*max(1, service.Engine.EventTokens))
+	}
+}
+
 // logEnd tells whether a whole answer was on time. Late ones are logged by a
 // message of their own, so that sampling does not drop them among the others.
 func (x *exchange) logEnd(u *upstream, events *eventReader, p *pace, resumes int) {
@@ -148,7 +156,7 @@
 		x.g.metrics.late.Add(1)
 	}
 	x.logger.Info(message, zap.String("backend_server", u.server.ID), zap.String("route", x.route.Name), zap.Int("events", events.events),
-		zap.Int("resumes", resumes), zap.Duration("first_event_seconds", p.first), zap.Duration("longest_pause_seconds", p.longest))
+		zap.Int("expected_tokens", x.expected), zap.Int("hint_tokens", x.says.hint()), zap.Int("resumes", resumes), zap.Duration("first_event_seconds", p.first), zap.Duration("longest_pause_seconds", p.longest))
 }
 
 // pass passes events on until the stream ends. Sent is false when the caller
