--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -136,6 +136,30 @@
 	}
 }
 
+// Guards against lengths that are learned in events where nothing tells how many
+// tokens one holds: a stopping entry took generations four times as long as it
+// thought (seed 1020 of the soak).
+func TestLengthsNeedTheSizeOfEvents(t *testing.T) {
+	for _, eventTokens := range []int{0, 4} {
+		reserver := &testReserver{room: map[string]bool{"i-0": true}}
+		b := newSizedBed(t, reserver, newTestServer(t, streamHold))
+		b.fleet.set(func(f *testFleet) {
+			state := *f.view.Table.State
+			state.Services = []desired.Service{{Name: "s", Engine: &desired.Engine{MemoryTokens: 30000, CanReserve: true, EventTokens: eventTokens}}}
+			f.view = &fleet.View{Table: desired.NewTable(&state), Version: 2, Servers: f.view.Servers}
+		})
+		for range 30 {
+			if status, _, _, err := b.call("/stream/x"); err != nil || status != 200 {
+				t.Fatal(status, err)
+			}
+		}
+		_, most := b.gateway.lengths.expect("stream", Request{MaxTokens: 100})
+		if learned := most < 100; learned != (eventTokens > 0) {
+			t.Errorf("%d tokens in an event: at most %d of 100 tokens expected after answers of one event", eventTokens, most)
+		}
+	}
+}
+
 // Guards against a stopping entry that takes a generation whose length is far
 // above its prediction and cuts it off (mix --seed 595274790888 of lsl-booking).
 func TestDrainAllowsForLongAnswers(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,10 +140,12 @@
 	p.longest = max(p.longest, since)
 }
 
-// observeLength learns from a whole answer.
+// observeLength learns from a whole answer. Where nothing declares how many
+// tokens an event holds, the length of an answer is not known.
 func (x *exchange) observeLength(events int) {
-	if service := x.g.table().Service(x.service); service != nil && service.Engine != nil {
-		x.g.lengths.observe(x.route.Name, x.says, events*max(1, service.Engine.EventTokens))
+	service := x.g.table().Service(x.service)
+	if service != nil && service.Engine != nil && service.Engine.EventTokens > 0 {
+		x.g.lengths.observe(x.route.Name, x.says, events*service.Engine.EventTokens)
 	}
 }
 
