Count a crash only of requests sent after the last one that counted

Cause: read again: equal requests of one caller that are in flight at three servers when a failure domain is cut off counted as three crashes, and the request would have been held back for an hour. Change: reports carry when the request was sent and when it broke off; the table skips those sent before the last crash that it counted.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -40,6 +40,8 @@
 	Quarantined bool          `cbor:"3,keyasint"`
 	Expires     time.Duration `cbor:"4,keyasint"`
 	Sequence    uint64        `cbor:"5,keyasint"`
+	// Last is when the last crash that CrashAmongOthers counted happened.
+	Last time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Cleared is a digest that left the table before its expiry.
@@ -128,11 +130,19 @@
 }
 
 // CrashAmongOthers records that a digest was in flight at a crash of a backend
-// server whose other requests are not known. Id names the pair of both.
-func (t *Table) CrashAmongOthers(now time.Duration, id, digest string) {
-	if t.first(now, id) && digest != "" {
-		t.suspect(now, digest, false)
+// server whose other requests are not known. Id names the pair of both. A request
+// that was sent before the last crash that counted does not count: equal
+// requests that were in flight at several servers when a failure domain was cut
+// off did not crash them one after another.
+func (t *Table) CrashAmongOthers(now time.Duration, id, digest string, sent, crashed time.Duration) {
+	if !t.first(now, id) || digest == "" {
+		return
+	}
+	if e, known := t.entries[digest]; known && sent < e.Value.(*Entry).Last {
+		return
 	}
+	t.suspect(now, digest, false)
+	t.entries[digest].Value.(*Entry).Last = crashed
 }
 
 // first tells whether a crash id is new, and keeps it.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -100,14 +100,15 @@
 func TestCrashAmongOthers(t *testing.T) {
 	tb := NewTable()
 	for i, server := range []string{"i-1", "i-1", "i-2"} {
-		tb.CrashAmongOthers(time.Duration(i)*time.Second, server+" a", "a")
+		at := time.Duration(i) * time.Second
+		tb.CrashAmongOthers(at, server+" a", "a", at-100*time.Millisecond, at)
 	}
-	tb.CrashAmongOthers(time.Second, "i-1 b", "b")
+	tb.CrashAmongOthers(time.Second, "i-1 b", "b", 0, time.Second)
 	if got := tb.Serious(3*time.Second, 10); len(got) != 1 || got[0].Digest != "a" || !got[0].Suspect {
 		t.Fatalf("after two crashes: %+v, want a as a suspect", got)
 	}
 	tb.Succeeded(3*time.Second, []string{"b"})
-	tb.CrashAmongOthers(4*time.Second, "i-3 a", "a")
+	tb.CrashAmongOthers(4*time.Second, "i-3 a", "a", 3*time.Second, 4*time.Second)
 	told := tb.Serious(5*time.Second, 10)
 	if len(told) != 1 || told[0].Suspect {
 		t.Fatalf("after three crashes: %+v, want a held back", told)
@@ -120,3 +121,16 @@
 		t.Error("the adopted table holds the digest back for longer than the first one")
 	}
 }
+
+// Guards against an innocent request that is held back for an hour, because equal
+// ones were in flight at several servers that were cut off at one moment.
+func TestCrashesAtOneMoment(t *testing.T) {
+	tb := NewTable()
+	for i, server := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		crashed := 10*time.Second + time.Duration(i)*300*time.Millisecond
+		tb.CrashAmongOthers(crashed+time.Second, server+" a", "a", 9*time.Second, crashed)
+	}
+	if told := tb.Serious(20*time.Second, 10); len(told) > 0 {
+		t.Errorf("told %+v after one cut", told)
+	}
+}
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -87,7 +87,7 @@
 		b.suspects = quarantine.Adopt(now, aged(b.told, now-b.toldAt))
 	}
 	for _, c := range r.Crashes {
-		b.suspects.CrashAmongOthers(now, c.Server+" "+c.Digest, c.Digest)
+		b.suspects.CrashAmongOthers(now, c.Server+" "+c.Digest, c.Digest, now-c.SentAgo, now-c.CrashedAgo)
 	}
 	b.suspects.Succeeded(now, r.Cleared)
 	told := b.suspects.Serious(now, maxTold)
--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -17,6 +17,7 @@
 
 // Crashed tells the leader of crashes. It does not wait for the delivery.
 func (f *Follower) Crashed(r *CrashRequest) {
+	began := Elapsed()
 	go func() {
 		for try := 0; try < crashTries; try++ {
 			if try > 0 {
@@ -26,9 +27,15 @@
 			if leader == "" {
 				continue
 			}
+			aged := &CrashRequest{Cleared: r.Cleared}
+			for _, c := range r.Crashes {
+				c.SentAgo += Elapsed() - began
+				c.CrashedAgo += Elapsed() - began
+				aged.Crashes = append(aged.Crashes, c)
+			}
 			ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
 			var reply ReportReply
-			err := f.options.Pool.Call(ctx, leader, ServiceName+".Crashed", r, &reply)
+			err := f.options.Pool.Call(ctx, leader, ServiceName+".Crashed", aged, &reply)
 			cancel()
 			if err == nil && (reply.Leader == "" || reply.Leader == leader) {
 				return
--- a/fleet/crashes_test.go
+++ b/fleet/crashes_test.go
@@ -10,8 +10,8 @@
 func TestCrashesOutliveTheLeader(t *testing.T) {
 	old, next := newBoard("old"), newBoard("next")
 	old.read(nil, time.Second)
-	for _, server := range []string{"i-1", "i-1", "i-2"} {
-		old.crashed(&CrashRequest{Crashes: []Crash{{Server: server, Digest: "a"}}}, time.Second)
+	for i, server := range []string{"i-1", "i-1", "i-2"} {
+		old.crashed(&CrashRequest{Crashes: []Crash{{Server: server, Digest: "a"}}}, time.Second+time.Duration(i)*time.Millisecond)
 	}
 	var reply WatchReply
 	old.fill(Stamp{}, 2*time.Second, &reply)
@@ -32,8 +32,11 @@
 func TestSuccessClearsASuspect(t *testing.T) {
 	b := newBoard("b")
 	b.read(nil, time.Second)
-	for _, server := range []string{"i-1", "i-2"} {
-		b.crashed(&CrashRequest{Crashes: []Crash{{Server: server, Digest: "a"}}}, time.Second)
+	for i, server := range []string{"i-1", "i-2"} {
+		b.crashed(&CrashRequest{Crashes: []Crash{{Server: server, Digest: "a"}}}, time.Second+time.Duration(i)*time.Millisecond)
+	}
+	if len(b.told) != 1 {
+		t.Fatalf("told %+v after two crashes", b.told)
 	}
 	b.crashed(&CrashRequest{Cleared: []string{"a"}}, 2*time.Second)
 	b.crashed(&CrashRequest{Crashes: []Crash{{Server: "i-3", Digest: "a"}}}, 3*time.Second)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -96,7 +96,11 @@
 }
 
 // Crash is one request, by digest, at the crash of one start of a server.
-type Crash struct{ Server, Digest string }
+type Crash struct {
+	Server, Digest string
+	// SentAgo and CrashedAgo are as of the sending of the report.
+	SentAgo, CrashedAgo time.Duration
+}
 
 // ReportReply names the leader when the report was sent to another member.
 type ReportReply struct{ Leader string }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -49,6 +49,8 @@
 	deadline time.Time
 	machine  *dispatch.Machine
 	tried    []string
+	// sent is when the last attempt went to a server.
+	sent time.Time
 	// suspect tells that the request was under way at crashes of servers.
 	suspect bool
 	logger  *zap.Logger
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -56,7 +56,7 @@
 	if x.g.options.Crashes == nil || ctx.Err() != nil || x.g.services.leaves(server.ID) {
 		return
 	}
-	digest := x.digest()
+	digest, sent, crashed := x.digest(), x.sent, time.Now()
 	go func() {
 		time.Sleep(confirmPause)
 		conn, err := net.DialTimeout("tcp", server.Address, connectTimeout)
@@ -66,7 +66,9 @@
 		}
 		x.g.metrics.crashes.Add(1)
 		x.logger.Info("backend server crashed during the request", zap.String("backend_server", server.ID), zap.String("digest", digest), zap.Error(err))
-		x.g.options.Crashes.Crashed(&fleet.CrashRequest{Crashes: []fleet.Crash{{Server: server.ID, Digest: digest}}})
+		x.g.options.Crashes.Crashed(&fleet.CrashRequest{Crashes: []fleet.Crash{{
+			Server: server.ID, Digest: digest, SentAgo: time.Since(sent), CrashedAgo: time.Since(crashed),
+		}}})
 	}()
 }
 
