Log who votes in the control group and who supported a lost election

Change: one line for each committed membership, one at most each 3 s for elections that are not won, one for a host that finds no leader to join, and gauges of voters and learners. No logic is changed.

--- a/control/node.go
+++ b/control/node.go
@@ -4,7 +4,9 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
+	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,6 +135,9 @@
 	status   atomic.Pointer[consensus.Status]
 	members  atomic.Pointer[[]consensus.Member]
 	highest  atomic.Uint64
+	// electionsLost and electionLogged limit the lines about lost elections.
+	electionsLost  uint64
+	electionLogged time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -256,7 +261,11 @@
 func (n *Node) publish() {
 	status := n.machine.Status()
 	members := n.machine.CommittedMembers().List
+	if old := n.members.Load(); old == nil || !slices.Equal(*old, members) {
+		n.logMembers(members)
+	}
 	n.members.Store(&members)
+	n.logLostElection(&status)
 	n.highest.Store(uint64(n.machine.Members().Highest))
 	view := leaderView{self: status.Role == consensus.Leader}
 	if status.Leader != 0 {
@@ -273,6 +282,32 @@
 	n.status.Store(&status)
 }
 
+// electionLogInterval is the shortest pause between lines about lost elections,
+// of which there is about one a second without a quorum.
+const electionLogInterval = 3 * time.Second
+
+func (n *Node) logMembers(members []consensus.Member) {
+	var voters, learners []string
+	for _, m := range members {
+		name := fmt.Sprintf("%d at %s", m.ID, m.Address)
+		if m.Learner {
+			learners = append(learners, name)
+		} else {
+			voters = append(voters, name)
+		}
+	}
+	n.logger.Info("control membership committed", zap.Strings("voters", voters), zap.Strings("learners", learners))
+}
+
+func (n *Node) logLostElection(status *consensus.Status) {
+	if status.ElectionsLost == n.electionsLost || time.Since(n.electionLogged) < electionLogInterval {
+		return
+	}
+	n.electionsLost, n.electionLogged = status.ElectionsLost, time.Now()
+	n.logger.Warn("election not won", zap.Uint64("elections_lost", status.ElectionsLost), zap.Int("voters", n.machine.Members().Voters()),
+		zap.Any("supporters", status.Supporters), zap.Uint64("log_index", status.Last))
+}
+
 // addressOf returns the peer address of a member. A member that joins knows
 // others only by their messages.
 func (n *Node) addressOf(id consensus.MemberID) string {
--- a/core/consensus/elect.go
+++ b/core/consensus/elect.go
@@ -1,5 +1,10 @@
 package consensus
 
+import (
+	"maps"
+	"slices"
+)
+
 func (m *Machine) resetTimeout() {
 	m.electionElapsed = 0
 	m.timeout = m.cfg.ElectionTicks + m.cfg.Rand.Intn(m.cfg.ElectionTicks)
@@ -60,6 +65,7 @@
 // preCampaign asks whether an election could succeed, without changing the
 // term. A member that was cut off thereby disturbs nobody when it returns.
 func (m *Machine) preCampaign() {
+	m.noteLostElection()
 	m.becomeFollower(m.term, 0)
 	m.role = PreCandidate
 	m.votes = map[MemberID]bool{m.cfg.ID: true}
@@ -67,6 +73,15 @@
 	m.countVotes()
 }
 
+// noteLostElection keeps who supported an election that is given up.
+func (m *Machine) noteLostElection() {
+	if m.role != PreCandidate && m.role != Candidate {
+		return
+	}
+	m.electionsLost++
+	m.supporters = slices.Sorted(maps.Keys(m.votes))
+}
+
 func (m *Machine) campaign() {
 	m.role = Candidate
 	m.term++
--- a/core/consensus/machine.go
+++ b/core/consensus/machine.go
@@ -80,8 +80,12 @@
 	timeout          int
 	votes            map[MemberID]bool
 	voteDisks        map[MemberID]uint64
-	peers            map[MemberID]*peer
-	resign           bool
+	// electionsLost counts the own elections without a majority, and supporters
+	// are the voters that granted their vote in the last of them.
+	electionsLost uint64
+	supporters    []MemberID
+	peers         map[MemberID]*peer
+	resign        bool
 
 	// Entries up to written were handed out for writing, and up to stable synced.
 	written, stable uint64
@@ -346,12 +350,17 @@
 	LogEntries, LogBytes        int
 	SnapshotBytes               int
 	Removed, LostDisk, Learning bool
+	// ElectionsLost counts the own elections without a majority, and Supporters
+	// are the voters that granted their vote in the last of them.
+	ElectionsLost uint64
+	Supporters    []MemberID
 }
 
 // Status returns the current status.
 func (m *Machine) Status() Status {
 	s := Status{ID: m.cfg.ID, Term: m.term, Role: m.role, Leader: m.leader, Last: m.log.last(), Commit: m.commit,
-		Applied: m.applied, LogEntries: len(m.log.entries), LogBytes: m.log.bytes, Removed: m.removed || m.absent(m.cfg.ID)}
+		Applied: m.applied, LogEntries: len(m.log.entries), LogBytes: m.log.bytes, Removed: m.removed || m.absent(m.cfg.ID),
+		ElectionsLost: m.electionsLost, Supporters: m.supporters}
 	if m.snapshot != nil {
 		s.SnapshotIndex, s.SnapshotBytes = m.snapshot.Index, len(m.snapshot.Data)
 	}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -95,6 +95,8 @@
 		}
 		return at.Seconds()
 	})
+	m.Gauge("control_voter_count", func() float64 { voters, _ := c.countMembers(); return float64(voters) })
+	m.Gauge("control_learner_count", func() float64 { _, learners := c.countMembers(); return float64(learners) })
 	return controlMetrics{
 		acknowledged: m.Counter("control_states_acknowledged_total"), refused: m.Counter("control_states_refused_total"),
 		unsure: m.Counter("control_states_unanswered_total"), watches: m.Counter("control_watches_total"),
@@ -102,6 +104,22 @@
 	}
 }
 
+// countMembers returns the committed members that vote and those that do not.
+func (c *Control) countMembers() (voters, learners int) {
+	node := c.node.Load()
+	if node == nil {
+		return 0, 0
+	}
+	for _, m := range node.Members() {
+		if m.Learner {
+			learners++
+		} else {
+			voters++
+		}
+	}
+	return voters, learners
+}
+
 // NewControl registers the services of a member. Run makes it take part.
 func NewControl(options ControlOptions) (*Control, error) {
 	c := &Control{options: options, board: newBoard(options.Address + "/" + newNonce()), nonces: map[string]consensus.MemberID{}}
--- a/fleet/identity.go
+++ b/fleet/identity.go
@@ -139,6 +139,7 @@
 func (c *Control) join(ctx context.Context) (*identity, error) {
 	request := &JoinRequest{Address: c.options.Address, Nonce: newNonce()}
 	target := ""
+	waiting := false
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		if target == "" {
 			candidates := c.others()
@@ -158,6 +159,10 @@
 			if err != nil {
 				c.options.Logger.Info("could not join the control group yet", zap.String("member", target), zap.Error(err))
 			}
+			if err == nil && reply.Leader == "" && !waiting {
+				waiting = true
+				c.options.Logger.Warn("can not join the control group: the member asked knows no leader", zap.String("member", target))
+			}
 			if target = reply.Leader; target != "" {
 				continue
 			}
