--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -318,6 +318,23 @@
 	added.put(t, document(3, "after"))
 }
 
+// Guards against a successor that a group with as many members as hosts refuses
+// until its predecessor is gone.
+func TestSuccessorJoinsAFullGroup(t *testing.T) {
+	const hosts = 8
+	g := newGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	g.members[g.seeds[0]].put(t, document(1, "one"))
+	for range hosts - len(g.seeds) {
+		g.start(freeAddress(t), false).get(t)
+	}
+	if got := g.start(freeAddress(t), false).get(t); got != string(document(1, "one")) {
+		t.Errorf("read %s", got)
+	}
+}
+
 // Guards against a read of an old state on a member that the others do not
 // reach, and against a lease that it would renew.
 func TestMemberWithoutQuorumIsNotSure(t *testing.T) {
