Take the vote of a silent control member whatever was before

Cause: the leader removed a silent member early only when another joined after its last sign of life. A planned successor joins before, so its predecessor counted for 20 s. That memory was also lost with each change of leader. Change: package roster decides from the present members alone. A voter that did not answer the leader's messages for 2 s loses its vote while enough others vote or wait for a place; it gets the vote back when it answers, so an error costs little. Members without a vote are removed after 20 s, or after 2 s when a host needs the place. Deployments that tolerate the loss of a failure domain keep three voters; so far they could shrink to one. Ruled out: watches as the sign of life. A member that watches but does not append, for instance on a stalled disk, is of no use to a quorum.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,6 +1,6 @@
 // Package roster decides how the control group changes its members without an
-// operator: who starts the group, and which lost member is removed. It has no
-// I/O.
+// operator: who starts the group, who loses its vote, and who is removed. It has
+// no I/O.
 package roster
 
 import (
@@ -10,13 +10,14 @@
 	"arbutusmast.example/arbutusmast/core/consensus"
 )
 
-// Times after which a silent member is removed.
 const (
-	// replacedAfter applies to a member in whose place another one joined. It is
-	// longer than a restart or a freeze of a few seconds.
-	replacedAfter = 4 * time.Second
-	// abandonedAfter applies to a member that nobody replaced.
-	abandonedAfter = 20 * time.Second
+	// silentAfter is the silence from which a member does not count as running:
+	// longer than a restart of its process, shorter than the 4 s in which a host
+	// that replaces a lost one must let the group bear the next loss.
+	silentAfter = 2 * time.Second
+	// forgottenAfter is the silence from which a member without a vote is
+	// removed. It has to join anew when it returns after all.
+	forgottenAfter = 20 * time.Second
 )
 
 // Initial returns the first members of a group for its seed addresses, which
@@ -33,63 +34,78 @@
 	return members
 }
 
-// Keeper is the leader's memory of its members. It is not safe for concurrent
-// use.
-type Keeper struct {
-	began  time.Duration
-	heard  map[string]time.Duration
-	joined map[consensus.MemberID]time.Duration
+// Member is one member as the leader sees it.
+type Member struct {
+	consensus.Member
+	// Silent is how long ago it last answered, 0 for the leader.
+	Silent time.Duration
 }
 
-// NewKeeper returns the Keeper of a leadership that began now.
-func NewKeeper(now time.Duration) *Keeper {
-	return &Keeper{began: now, heard: map[string]time.Duration{}, joined: map[consensus.MemberID]time.Duration{}}
+// Group is what the leader knows when it decides.
+//
+// A voter that is gone raises the number of votes that a majority needs, so the
+// group bears fewer losses with it than without it. It does not matter for that
+// whether a successor joined before or after it went, or which leader saw it.
+type Group struct {
+	Members []Member
+	// MinVoters is the number of voters below which the group does not shrink,
+	// because it could not bear the losses any more that it is meant to bear.
+	MinVoters int
+	// MaxVoters bounds the voters, MaxMembers all members. A learner that runs
+	// votes as soon as there is a place for it.
+	MaxVoters, MaxMembers int
 }
 
-// Heard tells that the member at an address runs.
-func (k *Keeper) Heard(now time.Duration, address string) { k.heard[address] = now }
-
-// Joined tells that a member was added.
-func (k *Keeper) Joined(now time.Duration, id consensus.MemberID, address string) {
-	k.joined[id] = now
-	k.heard[address] = now
+// Demote returns the voter that loses its vote because it is silent, 0 when
+// there is none.
+func (g Group) Demote() consensus.MemberID {
+	if !g.hasVoteToSpare() {
+		return 0
+	}
+	return g.mostSilent(silentAfter, false)
 }
 
-// lastHeard returns when a member was last known to run.
-func (k *Keeper) lastHeard(address string) time.Duration {
-	if at, ok := k.heard[address]; ok {
-		return at
+// Forget returns the silent learner to remove, 0 when there is none.
+func (g Group) Forget() consensus.MemberID {
+	after := forgottenAfter
+	if len(g.Members) >= g.MaxMembers {
+		// A host that wants to join needs the place.
+		after = silentAfter
 	}
-	return k.began
+	return g.mostSilent(after, true)
 }
 
-// Remove returns the member to remove now, 0 when there is none. Minimum is the
-// number of running members below which the group does not shrink, because it
-// could no longer bear the losses that it is meant to bear.
-func (k *Keeper) Remove(now time.Duration, self consensus.MemberID, members []consensus.Member, minimum int) consensus.MemberID {
-	alive, newest := 0, time.Duration(-1)
-	for _, m := range members {
-		running := m.ID == self || now-k.lastHeard(m.Address) < replacedAfter
-		if running {
-			// A learner that runs votes as soon as there is a place for it.
-			alive++
-		}
-		if at, ok := k.joined[m.ID]; ok && running {
-			newest = max(newest, at)
+// mostSilent returns the member that has been silent for longest, among those
+// that have been for a time.
+func (g Group) mostSilent(after time.Duration, learner bool) consensus.MemberID {
+	id, longest := consensus.MemberID(0), time.Duration(0)
+	for _, m := range g.Members {
+		if m.Learner == learner && m.Silent >= after && m.Silent > longest {
+			id, longest = m.ID, m.Silent
 		}
 	}
-	for _, m := range members {
-		if m.ID == self {
-			continue
-		}
-		heard := k.lastHeard(m.Address)
-		replaced := newest > heard && now-heard >= replacedAfter
-		if !replaced && now-heard < abandonedAfter {
-			continue
-		}
-		if m.Learner || alive >= minimum {
-			return m.ID
+	return id
+}
+
+// hasVoteToSpare tells whether enough members vote when one voter no longer does.
+func (g Group) hasVoteToSpare() bool {
+	voters, waiting := g.count()
+	if voters < g.MaxVoters {
+		// A learner that does not vote yet although there is a place is behind.
+		waiting = 0
+	}
+	return voters-1+waiting >= g.MinVoters
+}
+
+// count returns the voters and the learners that run.
+func (g Group) count() (voters, learners int) {
+	for _, m := range g.Members {
+		switch {
+		case !m.Learner:
+			voters++
+		case m.Silent < silentAfter:
+			learners++
 		}
 	}
-	return 0
+	return voters, learners
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -204,7 +204,7 @@
 	}
 	server := wire.NewServer(peers)
 	control, err := fleet.NewControl(fleet.ControlOptions{
-		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: h.seeds, Bootstrap: s.FirstStart, Tolerance: s.ToleratedLosses,
+		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: h.seeds, Bootstrap: s.FirstStart, MinVoters: s.MinVoters(),
 		Codec: platform.Codec{}, Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Dial: h.dial, Server: server, Logger: h.logger, Metrics: h.metrics,
 	})
 	if err != nil {
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -10,7 +10,6 @@
 
 	"arbutusmast.example/arbutusmast/control"
 	"arbutusmast.example/arbutusmast/core/consensus"
-	"arbutusmast.example/arbutusmast/core/roster"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
@@ -27,8 +26,9 @@
 	// confirmTimeout bounds one.
 	confirmInterval = 200 * time.Millisecond
 	confirmTimeout  = 500 * time.Millisecond
-	// keepInterval is the pause between looks at lost members.
-	keepInterval = 500 * time.Millisecond
+	// keepInterval is the pause between looks at silent members.
+	keepInterval = 250 * time.Millisecond
+	maxMembers   = consensus.DefaultMaxMembers
 	// listInterval is the pause between readings of the platform's list, which
 	// lags by about as much itself.
 	listInterval = 400 * time.Millisecond
@@ -36,8 +36,6 @@
 	flushInterval = 150 * time.Millisecond
 	// leaderInterval is the pause between looks at who leads.
 	leaderInterval = 100 * time.Millisecond
-	// memberChange bounds the commit of one change of members.
-	memberChange = 700 * time.Millisecond
 )
 
 // ErrRemoved tells that the group removed this member, whose data folder has
@@ -54,8 +52,8 @@
 	Seeds      func() []string
 	// Bootstrap is set at the very first start of the whole system.
 	Bootstrap bool
-	// Tolerance is the number of members that may be lost at once.
-	Tolerance int
+	// MinVoters is the number of voters below which the group does not shrink.
+	MinVoters int
 	Codec     Codec
 	Directory Directory
 	Pool      *wire.Pool
@@ -78,7 +76,6 @@
 	metrics controlMetrics
 
 	mu     sync.Mutex
-	keeper *roster.Keeper
 	nonces map[string]consensus.MemberID
 }
 
@@ -183,6 +180,7 @@
 	node, err := control.StartNode(control.NodeConfig{
 		Folder: filepath.Join(c.options.DataFolder, logFolder), ID: id.ID, Members: members, Join: len(id.Initial) == 0,
 		Dial: c.options.Dial, Logger: c.options.Logger, TickInterval: tickInterval, SnapshotBytes: snapshotBytes,
+		MaxMembers: maxMembers,
 	}, c.register)
 	if err != nil {
 		return nil, err
@@ -283,29 +281,3 @@
 		c.board.read(servers, began)
 	})
 }
-
-// runKeep removes lost members while this member leads.
-func (c *Control) runKeep(ctx context.Context) {
-	every(ctx, keepInterval, func() {
-		now := Elapsed()
-		c.mu.Lock()
-		if !c.leads() {
-			c.keeper = nil
-			c.mu.Unlock()
-			return
-		}
-		if c.keeper == nil {
-			c.keeper = roster.NewKeeper(now)
-		}
-		node := c.node.Load()
-		lost := c.keeper.Remove(now, node.Status().ID, node.Members(), 2*c.options.Tolerance+1)
-		c.mu.Unlock()
-		if lost == 0 {
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, memberChange)
-		defer cancel()
-		err := node.RemoveMember(callCtx, lost)
-		c.options.Logger.Info("removed a lost control member", zap.Uint64("member", uint64(lost)), zap.Error(err))
-	})
-}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -231,7 +231,7 @@
 	if f.options.Lazy {
 		wait = lazyWait
 	}
-	request := &WatchRequest{Version: v.Version, List: v.list, Wait: wait, Lazy: f.options.Lazy, Member: f.options.Member}
+	request := &WatchRequest{Version: v.Version, List: v.list, Wait: wait, Lazy: f.options.Lazy}
 	if v.Table == nil {
 		request.Version = 0
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -26,8 +26,6 @@
 	Wait    time.Duration
 	// Lazy watches are not answered early for changed loads.
 	Lazy bool
-	// Member is the peer address of a control member that asks, else empty.
-	Member string
 }
 
 // WatchReply carries what is newer. Ages are as of the making of the reply,
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/desired"
-	"arbutusmast.example/arbutusmast/core/roster"
 	"arbutusmast.example/arbutusmast/core/verdict"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -178,13 +177,6 @@
 	if node == nil {
 		return remote(verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this member has not joined the group"))
 	}
-	if request.Member != "" {
-		c.mu.Lock()
-		if c.keeper != nil {
-			c.keeper.Heard(arrived, request.Member)
-		}
-		c.mu.Unlock()
-	}
 	timer := time.NewTimer(min(request.Wait, maxWait))
 	defer timer.Stop()
 	for waiting := true; waiting; {
@@ -247,57 +239,3 @@
 	c.board.crashed(request, Elapsed())
 	return nil
 }
-
-// Join gives an id to a new member and adds it to the group. An earlier member
-// at the same address lost its disk, or it would not ask, and is removed first.
-func (s *service) Join(request *JoinRequest, reply *JoinReply) error {
-	c := s.control
-	node := c.node.Load()
-	if node == nil {
-		return remote(verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this member has not joined the group"))
-	}
-	if leader, self := node.Leader(); !self {
-		reply.Leader = leader
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), memberChange)
-	defer cancel()
-	c.mu.Lock()
-	id, repeated := c.nonces[request.Nonce]
-	c.mu.Unlock()
-	for _, m := range node.Members() {
-		if m.Address != request.Address {
-			continue
-		}
-		if repeated && m.ID == id {
-			reply.ID = id
-			return nil
-		}
-		if err := node.RemoveMember(ctx, m.ID); err != nil {
-			return remote(err)
-		}
-		c.options.Logger.Info("removed the member whose disk was lost", zap.Uint64("member", uint64(m.ID)), zap.String("address", m.Address))
-	}
-	return remote(s.add(ctx, request, reply))
-}
-
-// add adds a member under the next free id.
-func (s *service) add(ctx context.Context, request *JoinRequest, reply *JoinReply) error {
-	c := s.control
-	node := c.node.Load()
-	id := node.HighestID() + 1
-	err := node.AddMember(ctx, id, request.Address)
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.nonces[request.Nonce] = id
-	if c.keeper == nil {
-		c.keeper = roster.NewKeeper(Elapsed())
-	}
-	c.keeper.Joined(Elapsed(), id, request.Address)
-	c.mu.Unlock()
-	c.options.Logger.Info("added a control member", zap.Uint64("member", uint64(id)), zap.String("address", request.Address))
-	reply.ID = id
-	return nil
-}
