Remove a control member before it stops, when enough others vote

Cause: a member ended by SIGTERM left its vote behind. With its successor the group had four voters, of which a quorum is three; one was gone and one lost its disk. Change: a stopping member asks the leader first (Fleet.Leave). Package roster decides: go, when enough vote without it; stay, when it is needed, because SIGTERM is a restart more often than the end; wait, while a successor is catching up. One that goes is removed, empties its folder and joins under a new id if it starts again. Without a leader it asks for at most 3 s. Why it works: the group has three voters before the old process has ended, so the next loss may come at once. Ruled out: removing it always. A group of three voters would shrink to two, and a lost disk beside a restart would stop it for good. Conclusion: fixed where a successor votes.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -109,3 +109,38 @@
 	}
 	return voters, learners
 }
+
+// Departure is what a member does that was told to stop.
+type Departure int
+
+// Departures of a member.
+const (
+	// Stay keeps the membership: too few vote without this member, and it is
+	// expected to start again with its disk.
+	Stay Departure = iota
+	// Wait asks again: a learner that may take its place is catching up.
+	Wait
+	// Go removes the member before it stops.
+	Go
+)
+
+// Depart decides about a member that was told to stop and still runs. The
+// signal does not tell whether it starts again.
+func (g Group) Depart(id consensus.MemberID) Departure {
+	for _, m := range g.Members {
+		if m.ID != id {
+			continue
+		}
+		if _, learners := g.count(); m.Learner {
+			// Without a vote it harms nobody by its absence.
+			return Stay
+		} else if g.hasVoteToSpare() {
+			return Go
+		} else if learners > 0 {
+			return Wait
+		}
+		return Stay
+	}
+	// An earlier request removed it.
+	return Go
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -75,6 +75,33 @@
 	}
 }
 
+// Guards against a member that stops for good and leaves its vote behind, and
+// against one that gives up its vote and data for a restart when it is needed.
+func TestDepart(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		group Group
+		id    consensus.MemberID
+		want  Departure
+	}{
+		{"a successor votes", group(3, voters(0, 0, 0, 0)), 2, Go},
+		{"the leader, a successor votes", group(3, voters(0, 0, 0, 0)), 1, Go},
+		{"a successor is behind", group(3, voters(0, 0, 0), learners(4, 0)), 2, Wait},
+		{"no successor", group(3, voters(0, 0, 0)), 2, Stay},
+		{"the successor is silent", group(3, voters(0, 0, 0), learners(4, 5)), 2, Stay},
+		{"a successor waits for the place", group(5, voters(0, 0, 0, 0, 0), learners(6, 0)), 2, Go},
+		{"another voter was lost at the same moment", group(3, voters(0, 0, 9, 0)), 2, Go},
+		{"a learner", group(3, voters(0, 0, 0), learners(4, 0)), 4, Stay},
+		{"removed by an earlier request", group(3, voters(0, 0, 0)), 7, Go},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.group.Depart(c.id); got != c.want {
+				t.Errorf("departure %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a loss that stops the group although no more are lost than it
 // is meant to bear: whatever member is replaced, by whatever order of joining
 // and going, after the leader's decisions any further one may be lost.
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -35,6 +35,9 @@
 	drainNotice = 3 * time.Second
 	// drainReserve is kept between the end of the drain and the forced end.
 	drainReserve = 400 * time.Millisecond
+	// leaveLimit is how long a stopping control member waits for an answer: longer
+	// than an election, during which nobody answers.
+	leaveLimit = 3 * time.Second
 	// memoryShare is the part of the host's memory at which the collector works
 	// harder.
 	memoryShare = 0.7
@@ -216,7 +219,25 @@
 	}
 	go server.Serve()
 	go h.serve(&http.Server{Handler: platform.OperatorHandler(control, h.logger), ReadHeaderTimeout: readHeaderTimeout}, operators)
-	return control.Run(ctx)
+	// The member outlives the signal until the group has decided whether it is
+	// removed.
+	runCtx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- control.Run(runCtx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	leaveCtx, cancel := context.WithTimeout(context.Background(), min(leaveLimit, s.DrainLimit-drainReserve))
+	defer cancel()
+	control.Leave(leaveCtx)
+	stop()
+	if err := <-ended; !errors.Is(err, fleet.ErrRemoved) {
+		return err
+	}
+	return nil
 }
 
 func (h *hosted) runAgent(ctx context.Context, s *platform.Settings) error {
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -29,6 +29,7 @@
 	// keepInterval is the pause between looks at silent members.
 	keepInterval = 250 * time.Millisecond
 	maxMembers   = consensus.DefaultMaxMembers
+
 	// listInterval is the pause between readings of the platform's list, which
 	// lags by about as much itself.
 	listInterval = 400 * time.Millisecond
@@ -75,6 +76,9 @@
 
 	metrics controlMetrics
 
+	// left tells that the group removed this member because it stops.
+	left atomic.Bool
+
 	mu     sync.Mutex
 	nonces map[string]consensus.MemberID
 }
@@ -131,7 +135,8 @@
 	return c, errors.Wrap(options.Server.Register(ServiceName, &service{c}), "register the fleet service")
 }
 
-// Run takes part in the group until ctx ends or the member fails.
+// Run takes part in the group until ctx ends or the member fails. A member that
+// left the group before keeps nothing on its disk.
 func (c *Control) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -157,12 +162,16 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			if !c.left.Load() {
+				return nil
+			}
+			node.Stop()
+			return discard(c.options.DataFolder)
 		case <-node.Done():
 			return errors.Wrap(node.Err(), "the control member failed")
 		case <-ticker.C:
 		}
-		if status := node.Status(); status.LostDisk || status.Removed {
+		if status := node.Status(); (status.LostDisk || status.Removed) && !c.left.Load() {
 			node.Stop()
 			if err := discard(c.options.DataFolder); err != nil {
 				return err
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -12,9 +12,12 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/consensus"
 	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/roster"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
+	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -318,6 +321,60 @@
 	added.put(t, document(3, "after"))
 }
 
+// voters returns the addresses that vote, by id, as a member knows them.
+func (m *testMember) voters() map[consensus.MemberID]string {
+	voters := map[consensus.MemberID]string{}
+	if node := m.node.Load(); node != nil {
+		for _, member := range node.Members() {
+			if !member.Learner {
+				voters[member.ID] = member.Address
+			}
+		}
+	}
+	return voters
+}
+
+// Guards against a restart that costs a member its vote and data while it is
+// needed, and against a stop that leaves the vote behind while it is not.
+func TestStoppedMember(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	g.members[g.seeds[0]].put(t, document(1, "one"))
+	stop := func(address string) {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		g.members[address].Leave(ctx)
+		g.kill(address)
+	}
+	stop(g.seeds[2])
+	g.start(g.seeds[2], false)
+	want := map[consensus.MemberID]string{1: "", 2: "", 3: ""}
+	for id, address := range roster.Initial(g.seeds) {
+		want[id] = address
+	}
+	eventually(t, "the restarted member takes part under its id", func() bool {
+		node := g.members[g.seeds[2]].node.Load()
+		return node != nil && node.Status().Leader != 0 && cmp.Equal(want, g.members[g.seeds[2]].voters())
+	})
+
+	added := g.start(freeAddress(t), false)
+	eventually(t, "the fourth member votes", func() bool { return len(added.voters()) == 4 })
+	for _, address := range g.seeds {
+		stop(address)
+		if _, err := os.Stat(filepath.Join(g.members[address].folder, identityFile)); !os.IsNotExist(err) {
+			t.Errorf("a member that left keeps its identity: %v", err)
+		}
+		eventually(t, "its vote is gone", func() bool { return len(added.voters()) == 3 })
+		g.start(address, false)
+		eventually(t, "it votes under a new id", func() bool { return len(added.voters()) == 4 })
+	}
+	if got := added.get(t); got != string(document(1, "one")) {
+		t.Errorf("read %s", got)
+	}
+}
+
 // Guards against a successor that a group with as many members as hosts refuses
 // until its predecessor is gone.
 func TestSuccessorJoinsAFullGroup(t *testing.T) {
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -8,12 +8,15 @@
 	"arbutusmast.example/arbutusmast/core/consensus"
 	"arbutusmast.example/arbutusmast/core/roster"
 	"arbutusmast.example/arbutusmast/core/verdict"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
 const (
 	// memberChange bounds the commit of one change of members.
 	memberChange = 700 * time.Millisecond
+	// leaveRetry is the pause before a stopping member asks again.
+	leaveRetry = 50 * time.Millisecond
 )
 
 // group returns what this member knows of the group while it leads.
@@ -54,6 +57,88 @@
 	})
 }
 
+// Leave gives up the membership before a stop, if enough members vote without
+// this one. It returns at once when they do not, and asks until ctx ends while
+// no leader is known or a successor is still catching up.
+func (c *Control) Leave(ctx context.Context) {
+	node := c.node.Load()
+	if node == nil {
+		return
+	}
+	began := Elapsed()
+	var failed error
+	for {
+		departure, err := c.askToLeave(ctx, node)
+		if err == nil && departure != roster.Wait {
+			c.left.Store(departure == roster.Go)
+			c.options.Logger.Info("stopping as a control member", zap.Bool("left_the_group", departure == roster.Go),
+				zap.Duration("waited_seconds", Elapsed()-began))
+			return
+		}
+		if err != nil && failed == nil {
+			c.options.Logger.Info("could not ask about leaving the control group yet", zap.Error(err))
+		}
+		failed = err
+		select {
+		case <-ctx.Done():
+			c.options.Logger.Warn("stopping without an answer about leaving the control group", zap.Error(err))
+			return
+		case <-node.Done():
+			return
+		case <-time.After(leaveRetry):
+		}
+	}
+}
+
+// askToLeave makes one attempt, here or at the leader.
+func (c *Control) askToLeave(ctx context.Context, node *control.Node) (roster.Departure, error) {
+	address, self := node.Leader()
+	if self {
+		return c.depart(ctx, node.Status().ID)
+	}
+	if address == "" {
+		return roster.Stay, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
+	}
+	callCtx, cancel := context.WithTimeout(ctx, memberChange)
+	defer cancel()
+	var reply LeaveReply
+	err := c.options.Pool.Call(callCtx, address, ServiceName+".Leave", &LeaveRequest{ID: node.Status().ID}, &reply)
+	return reply.Departure, err
+}
+
+// depart decides about a member that stops, and removes it.
+func (c *Control) depart(ctx context.Context, id consensus.MemberID) (roster.Departure, error) {
+	node := c.node.Load()
+	g, err := c.group(ctx, node)
+	if err != nil {
+		return roster.Stay, err
+	}
+	departure := g.Depart(id)
+	if departure != roster.Go {
+		return departure, nil
+	}
+	err = node.RemoveMember(ctx, id)
+	if errors.Is(err, consensus.ErrNoSuchMember) {
+		err = nil
+	}
+	if err == nil {
+		c.options.Logger.Info("removed a control member that stops", zap.Uint64("member", uint64(id)))
+	}
+	return departure, err
+}
+
+// Leave removes a member that stops, if enough members vote without it.
+func (s *service) Leave(request *LeaveRequest, reply *LeaveReply) error {
+	if !s.control.leads() {
+		return remote(verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "this member does not lead"))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), memberChange)
+	defer cancel()
+	departure, err := s.control.depart(ctx, request.ID)
+	reply.Departure = departure
+	return remote(err)
+}
+
 // Join gives an id to a new member and adds it to the group. An earlier member
 // at the same address lost its disk, or it would not ask, and is removed first.
 func (s *service) Join(request *JoinRequest, reply *JoinReply) error {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -6,6 +6,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/consensus"
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/core/roster"
 )
 
 // ServiceName is the net/rpc service of the control members.
@@ -83,6 +84,12 @@
 	Leader string
 }
 
+// LeaveRequest tells that a member was told to stop.
+type LeaveRequest struct{ ID consensus.MemberID }
+
+// LeaveReply tells what the member does.
+type LeaveReply struct{ Departure roster.Departure }
+
 // ReportRequest is an observation made beside a backend server.
 type ReportRequest struct{ Report backend.Report }
 
