Let a successor join a control group of eight hosts

Cause: the group takes eight members at most, as many as the grown deployments have hosts. A planned successor starts first and finds no place. With an unplanned one the lost member keeps its place for 20 s. Change: sixteen members, so that each host may have a successor beside it. Ruled out: a higher number of voters. Five bear the two losses that these deployments name.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -28,7 +28,9 @@
 	confirmTimeout  = 500 * time.Millisecond
 	// keepInterval is the pause between looks at silent members.
 	keepInterval = 250 * time.Millisecond
-	maxMembers   = consensus.DefaultMaxMembers
+	// maxMembers leaves a place for the successor of each of the eight hosts that
+	// a group is meant for.
+	maxMembers = 16
 
 	// listInterval is the pause between readings of the platform's list, which
 	// lags by about as much itself.
