Decide the least number of voters in package roster

Cause: package platform translates only, and the rule stood in its settings. Conclusion: no change of behavior.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -20,6 +20,19 @@
 	forgottenAfter = 20 * time.Second
 )
 
+// votersAcrossDomains is the least number of voters that bears the loss of a
+// failure domain.
+const votersAcrossDomains = 3
+
+// MinVoters returns the number of voters that bears the loss of some hosts, or
+// of some failure domains, at once.
+func MinVoters(losses, domains int) int {
+	if domains > 0 {
+		return max(2*losses+1, votersAcrossDomains)
+	}
+	return 2*losses + 1
+}
+
 // Initial returns the first members of a group for its seed addresses, which
 // all hosts know in the same form at the first start.
 func Initial(seeds []string) map[consensus.MemberID]string {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -19,6 +19,15 @@
 	}
 }
 
+// Guards against a group that shrinks below what the tolerated losses need.
+func TestMinVoters(t *testing.T) {
+	for _, c := range []struct{ losses, domains, want int }{{0, 0, 1}, {1, 0, 3}, {2, 0, 5}, {0, 1, 3}, {2, 1, 5}} {
+		if got := MinVoters(c.losses, c.domains); got != c.want {
+			t.Errorf("%d hosts or %d failure domains: %d voters, want %d", c.losses, c.domains, got, c.want)
+		}
+	}
+}
+
 // voters and learners make members that are silent for a number of seconds; the
 // first one is the leader.
 func voters(silent ...float64) []Member { return makeMembers(1, false, silent) }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/failuredomain"
+	"arbutusmast.example/arbutusmast/core/roster"
 	"arbutusmast.example/arbutusmast/evacuate"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/gateway"
@@ -207,7 +208,7 @@
 	}
 	server := wire.NewServer(peers)
 	control, err := fleet.NewControl(fleet.ControlOptions{
-		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: h.seeds, Bootstrap: s.FirstStart, MinVoters: s.MinVoters(),
+		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: h.seeds, Bootstrap: s.FirstStart, MinVoters: roster.MinVoters(s.ToleratedLosses, s.ToleratedDomains),
 		Codec: platform.Codec{}, Directory: platform.NewClient(s.ListAddress, h.logger), Pool: h.pool, Dial: h.dial, Server: server, Logger: h.logger, Metrics: h.metrics,
 	})
 	if err != nil {
