Keep the address of a leader that removes itself

Cause: the others append the removal and thereby lose the leader's address, which they took from the membership. Their answers are dropped until its next heartbeat, which brings the address again. Change: the address of each sender is kept. Ruled out: the quota of the processor; the others are not slower. Figures: TestAnswersALeaderThatLeaves fails before ("") and passes.

--- a/control/node.go
+++ b/control/node.go
@@ -311,7 +311,7 @@
 }
 
 // addressOf returns the peer address of a member. A member that joins knows
-// others only by their messages.
+// others only by their messages, and so do all a leader that removes itself.
 func (n *Node) addressOf(id consensus.MemberID) string {
 	if m, ok := n.machine.Members().Find(id); ok {
 		return m.Address
--- a/control/node_peer.go
+++ b/control/node_peer.go
@@ -186,9 +186,8 @@
 
 // handle implements event.
 func (r *StepRequest) handle(n *Node) {
-	if _, known := n.machine.Members().Find(r.From); !known {
-		n.learned[r.From] = r.Address
-	}
+	// A message may remove its sender from the membership, and is answered.
+	n.learned[r.From] = r.Address
 	if part := r.Part; part != nil {
 		if part.Offset == 0 {
 			n.partial = partial{index: part.Index, term: part.Term}
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand"
 	"net"
 	"os"
 	"path/filepath"
@@ -367,3 +368,24 @@
 	runtime.ReadMemStats(&m)
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), int64(m.HeapAlloc)
 }
+
+// Guards against a member that can not answer a leader that removes itself,
+// because the removal takes the leader's address out of the membership.
+func TestAnswersALeaderThatLeaves(t *testing.T) {
+	machine, err := consensus.New(consensus.Config{ID: 1, Disk: 1, Rand: rand.New(rand.NewSource(1)),
+		Initial: []consensus.Member{{ID: 1, Address: "a"}, {ID: 2, Address: "b"}, {ID: 3, Address: "c"}}}, consensus.Restored{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{machine: machine, learned: map[consensus.MemberID]string{}}
+	left := &consensus.Members{List: []consensus.Member{{ID: 1, Address: "a"}, {ID: 3, Address: "c"}}, Highest: 3}
+	removal := consensus.Entry{Index: 1, Term: 1, Kind: consensus.EntryMembers, Members: left}
+	(&StepRequest{From: 2, Address: "b", Messages: []consensus.Message{
+		{Kind: consensus.KindAppend, From: 2, To: 1, Disk: 2, Term: 1, Entries: []consensus.Entry{removal}}}}).handle(n)
+	if _, known := machine.Members().Find(2); known {
+		t.Fatal("the removal is not in the log")
+	}
+	if got := n.addressOf(2); got != "b" {
+		t.Errorf("the leader's address is %q after its removal, want b", got)
+	}
+}
