Log the limits that backend servers name

The logs of the incident cannot tell whether an entry knew of a limit. The platform's header is decoded into serverlimit.Statement, and an entry logs each change of it once per server: learned, changed, ended, malformed. A lost or misdirected response says nothing, a refusal need not repeat it. What is sent where does not change. TestServerLimits has the values that name no rate.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/failuredomain"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
 	"github.com/pkg/errors"
@@ -78,6 +79,9 @@
 	Encoded bool
 	Load    backend.Load
 	HasLoad bool
+	// Limit is what the response says about the rate of requests that the server
+	// accepts.
+	Limit serverlimit.Statement
 }
 
 // Dialect reads and writes the headers that callers and backend servers use.
@@ -141,6 +145,7 @@
 	logger   *zap.Logger
 	metrics  metrics
 	services serviceSet
+	limits   limitLog
 	lengths  lengthPredictor
 	started  time.Time
 
@@ -161,7 +166,8 @@
 		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
 	g.metrics = newMetrics(options.Metrics)
 	g.services.init(&options)
-	options.Fleet.OnChange(func(v *fleet.View) { g.services.update(g.elapsed(), v) })
+	g.limits.init(options.Logger)
+	options.Fleet.OnChange(func(v *fleet.View) { g.services.update(g.elapsed(), v); g.limits.retain(v) })
 	g.services.update(0, options.Fleet.View())
 	return g
 }
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -137,7 +137,9 @@
 	if u.metadata.HasLoad {
 		g.services.observeLoad(g.elapsed(), u.server, u.metadata.Load)
 	}
-	return classify(u, g.options.Dialect.ReadRequest(r.Header).ID)
+	result, err := classify(u, g.options.Dialect.ReadRequest(r.Header).ID)
+	g.limits.observe(u, result)
+	return result, err
 }
 
 // classify returns the result of an attempt that got a response. A response that is
