Keep the limits that backend servers name, for all entries together

Callers saw: a server that asked for about two requests a second got 34 to 44 in 4 s, as before it asked, so a server in need did not recover.

Cause: entries did not read the limit. Nothing in placement, retries, reservations or resumed generations knew of a rate that a server states; the only state about a server's load was each entry's own.

Ruled out: retries (4 of 54 attempts in the record); a limit kept by each entry for itself, which two entries would have broken by a factor of two.

Change: core/serverlimit. The control leader holds a token bucket for each limited server and grants permits to entries as they need them; a permit ends after 0.5 s, so a lost entry takes nothing with it. Every arrival needs one: requests, retries, resumed generations; a limited server gets no reservations and no moved generations. What responses say is merged by the times at which requests were sent and responses received, reported to the leader and published with the watches, so that all entries learn, change and forget a limit together. A leader grants only while a quorum confirmed it within a second, and a new one only after that time. Without the control group limited servers get nothing from entries that know of the limit. The smallest rate is one request in 2 s, whose response shows that a limit has ended. Refusals come at once, are not run, and spread the callers over the rate that is left.

--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -251,14 +251,15 @@
 	}
 }
 
-// destinations returns the servers that could take generations. The caller must hold
-// a.mu.
+// destinations returns the servers that could take generations. A generation that
+// continues at a server counts against the server's limit, so servers with limits are
+// left out. The caller must hold a.mu.
 func (a *Agent) destinations() []evacuation.Destination {
 	var list []evacuation.Destination
 	v := a.options.Fleet.View()
 	for _, server := range v.Servers {
 		if server.Service != a.options.Service || server.Leaving || server.Address == a.options.Address ||
-			time.Since(a.refusedAt[server.Address]) < refusalBackoff {
+			v.Limits[server.ID].Limited || time.Since(a.refusedAt[server.Address]) < refusalBackoff {
 			continue
 		}
 		d := evacuation.Destination{Address: server.Address, SameDomain: server.FailureDomain == a.options.FailureDomain,
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -76,6 +76,7 @@
 	options      ControlOptions
 	stateMachine *stateMachine
 	servers      *serverList
+	limits       *limitTable
 	watcher      *Watcher
 	node         atomic.Pointer[control.Node]
 	// confirmed is the time since boot at which the last successful confirmation by
@@ -94,7 +95,7 @@
 
 // controlMetrics holds the counters of a member.
 type controlMetrics struct {
-	acknowledged, refused, unanswered, watches, listReads, listFailures *expvar.Int
+	acknowledged, refused, unanswered, watches, listReads, listFailures, permitRequests, permits *expvar.Int
 }
 
 // newControlMetrics registers the gauges of a member and returns its counters.
@@ -112,6 +113,7 @@
 		acknowledged: m.Counter("control_states_acknowledged_total"), refused: m.Counter("control_states_refused_total"),
 		unanswered: m.Counter("control_states_unanswered_total"), watches: m.Counter("control_watches_total"),
 		listReads: m.Counter("control_list_reads_total"), listFailures: m.Counter("control_list_failures_total"),
+		permitRequests: m.Counter("control_permit_requests_total"), permits: m.Counter("control_permits_total"),
 	}
 }
 
@@ -135,6 +137,7 @@
 func NewControl(options ControlOptions) (*Control, error) {
 	c := &Control{options: options, servers: newServerList(options.Address + "/" + newNonce()),
 		nonces: map[string]consensus.MemberID{}}
+	c.limits = &limitTable{source: c.servers.source, notify: c.servers.notify}
 	c.metrics = newControlMetrics(options.Metrics, c)
 	c.stateMachine = &stateMachine{onChange: c.servers.notify}
 	member := options.Address
@@ -244,11 +247,16 @@
 }
 
 // copyLeaderList copies the list that the watcher received from the leader, with the
-// time at which it was read, unless this member leads.
+// time at which it was read, and the limits of backend servers, unless this member
+// leads.
 func (c *Control) copyLeaderList() {
-	if at := c.watcher.listRead.Load(); at != 0 && !c.leads() {
+	if c.leads() {
+		return
+	}
+	if at := c.watcher.listRead.Load(); at != 0 {
 		c.servers.copyFrom(c.watcher.View(), time.Duration(at))
 	}
+	c.limits.copyFrom(c.watcher.View())
 }
 
 // runLeaderPoll sets the leader that the watcher watches. It also copies the read time
@@ -260,6 +268,9 @@
 			c.watcher.SetLeader(address)
 		}
 		c.copyLeaderList()
+		if status := c.node.Load().Status(); status.Role == consensus.Leader {
+			c.limits.lead(SinceBoot(), status.Term)
+		}
 	})
 }
 
@@ -304,5 +315,10 @@
 		}
 		c.metrics.listReads.Add(1)
 		c.servers.setServers(servers, start)
+		ids := make(map[string]bool, len(servers))
+		for _, server := range servers {
+			ids[server.ID] = true
+		}
+		c.limits.retain(SinceBoot(), func(server string) bool { return ids[server] })
 	})
 }
--- /dev/null
+++ b/fleet/limits.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/consensus"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
+	"arbutusmast.example/arbutusmast/core/verdict"
+	"go.uber.org/zap"
+)
+
+const (
+	// permitTimeout limits one request for permits. A caller's request waits for it.
+	permitTimeout = 100 * time.Millisecond
+	// limitReportInterval is the delay before a report that was not delivered is
+	// repeated, maxLimitReports the number of tries.
+	limitReportInterval = 500 * time.Millisecond
+	maxLimitReports     = 6
+)
+
+// limitTable is a control member's copy of the limits that backend servers name. The
+// leader's allocates permits; the other members copy what the leader knows.
+type limitTable struct {
+	// source identifies this member's process in stamps.
+	source string
+	// notify wakes the watches that wait for a change.
+	notify func()
+
+	mu    sync.Mutex
+	stamp Stamp
+	known map[string]serverlimit.Observation
+	// allocator is nil unless this member leads. It belongs to one term, because
+	// another leader may have granted permits between two terms.
+	allocator *serverlimit.Allocator
+	term      uint64
+}
+
+// lead makes this member the allocator of a term. Before its first grant, the
+// permission of the previous leader to grant has ended.
+func (l *limitTable) lead(now time.Duration, term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.allocator != nil && l.term == term {
+		return
+	}
+	l.allocator, l.term = serverlimit.NewAllocator(now+maxConfirmationAge), term
+	for server, o := range l.known {
+		l.allocator.Observe(now, server, o)
+	}
+}
+
+// acquire grants permits on the leader.
+func (l *limitTable) acquire(now time.Duration, r serverlimit.Request) serverlimit.Reply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.allocator == nil {
+		return serverlimit.Reply{Known: r.Known, RetryIn: serverlimit.UnreachablePause}
+	}
+	reply, changed := l.allocator.Acquire(now, r)
+	if changed {
+		l.publishLocked()
+	}
+	return reply
+}
+
+// retain forgets the limits of servers that are not listed. It has no effect on a
+// member that does not lead.
+func (l *limitTable) retain(now time.Duration, listed func(server string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.allocator == nil {
+		return
+	}
+	l.allocator.Retain(now, listed)
+	if len(l.allocator.Known()) != len(l.known) {
+		l.publishLocked()
+	}
+}
+
+// publishLocked publishes what the allocator knows. The caller holds l.mu.
+func (l *limitTable) publishLocked() {
+	l.known = l.allocator.Known()
+	l.stamp = Stamp{Source: l.source, Number: l.stamp.Number + 1}
+	l.notify()
+}
+
+// copyFrom replaces the limits by the leader's, which this member's watcher received.
+func (l *limitTable) copyFrom(v *View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allocator = nil
+	if v.limitsStamp == l.stamp || v.limitsStamp == (Stamp{}) {
+		return
+	}
+	l.stamp, l.known = v.limitsStamp, v.Limits
+	l.notify()
+}
+
+// hasNewer reports whether the limits differ from those with the known stamp.
+func (l *limitTable) hasNewer(known Stamp) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stamp != known && l.stamp != (Stamp{})
+}
+
+// fillReply sets the limits in a reply if their stamp differs from the known one.
+func (l *limitTable) fillReply(known Stamp, now time.Duration, reply *WatchReply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stamp == known || l.stamp == (Stamp{}) {
+		return
+	}
+	reply.HasLimits, reply.LimitsStamp = true, l.stamp
+	reply.Limits = make(map[string]serverlimit.Age, len(l.known))
+	for server, o := range l.known {
+		reply.Limits[server] = o.Age(now)
+	}
+}
+
+// AcquirePermits grants permits for requests to a backend server that names a limit.
+// Other members than the leader return its address instead.
+func (s *service) AcquirePermits(request *PermitRequest, reply *PermitReply) error {
+	c := s.control
+	node := c.node.Load()
+	if node == nil {
+		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this member has not joined the group"))
+	}
+	status := node.Status()
+	if status.Role != consensus.Leader {
+		reply.Leader, _ = node.Leader()
+		return nil
+	}
+	// A leader that was replaced without knowing it must not grant beside its
+	// successor.
+	if age, ok := readingAge(&c.confirmed); !ok || age > maxConfirmationAge {
+		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no quorum confirmed this leader lately"))
+	}
+	now := SinceBoot()
+	c.limits.lead(now, status.Term)
+	c.metrics.permitRequests.Add(1)
+	reply.Reply = c.limits.acquire(now, request.Request)
+	c.metrics.permits.Add(int64(reply.Reply.Permits))
+	return nil
+}
+
+// AcquirePermits asks the leader for permits.
+func (w *Watcher) AcquirePermits(ctx context.Context, r serverlimit.Request) (serverlimit.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	leader := w.View().Leader
+	for {
+		if leader == "" {
+			return serverlimit.Reply{}, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
+		}
+		var reply PermitReply
+		err := w.options.Pool.Call(ctx, leader, ServiceName+".AcquirePermits", &PermitRequest{Request: r}, &reply)
+		if err != nil || reply.Leader == "" {
+			return reply.Reply, err
+		}
+		if reply.Leader == leader {
+			return serverlimit.Reply{}, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
+		}
+		leader = reply.Leader
+	}
+}
+
+// ReportLimit tells the leader in the background what an entry learned about the limit
+// of a server.
+func (w *Watcher) ReportLimit(entry, server string, o serverlimit.Observation) {
+	go func() {
+		for try := 1; ; try++ {
+			r := serverlimit.Request{Entry: entry, Server: server, Known: o.Age(SinceBoot())}
+			_, err := w.AcquirePermits(context.Background(), r)
+			if err == nil {
+				return
+			}
+			w.options.Logger.Info("limit of a backend server not reported", zap.String("backend_server", server),
+				zap.Int("try", try), zap.Error(err))
+			if try == maxLimitReports {
+				return
+			}
+			time.Sleep(limitReportInterval)
+		}
+	}()
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -7,6 +7,7 @@
 	"arbutusmast.example/arbutusmast/core/consensus"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/roster"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
 )
 
 // ServiceName is the net/rpc service of the control members.
@@ -28,6 +29,10 @@
 	Wait    time.Duration
 	// Lazy watches get no early reply for changed loads.
 	Lazy bool
+	// WantsLimits is set by daemons that know Limits, the stamp of the limits of
+	// backend servers.
+	WantsLimits bool
+	Limits      Stamp
 }
 
 // WatchReply holds the newer data. Ages are as of the time at which the reply was made,
@@ -50,6 +55,11 @@
 	// Quarantine holds the requests that are suspected of crashing backend servers.
 	// Like Servers, it is sent if the stamp differs.
 	Quarantine []message.Quarantine
+	// Limits are the limits that backend servers named, by server id. They are set
+	// together with HasLimits if LimitsStamp differs from that of the request.
+	HasLimits   bool
+	LimitsStamp Stamp
+	Limits      map[string]serverlimit.Age
 	// Members and Leader are peer addresses of the control group.
 	Members []string
 	Leader  string
@@ -111,5 +121,14 @@
 	SentAgo, CrashedAgo time.Duration
 }
 
+// PermitRequest asks the leader for permits.
+type PermitRequest struct{ Request serverlimit.Request }
+
+// PermitReply holds the reply, or the leader if the request was sent to another member.
+type PermitReply struct {
+	Reply  serverlimit.Reply
+	Leader string
+}
+
 // ReportReply holds the leader if the report was sent to another member.
 type ReportReply struct{ Leader string }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -190,7 +190,8 @@
 	for waiting := true; waiting; {
 		changed := c.servers.changed()
 		version, document := c.stateMachine.current()
-		if c.servers.hasNewer(request.List, request.Lazy) || document != nil && version > request.Version {
+		if c.servers.hasNewer(request.List, request.Lazy) ||
+			request.WantsLimits && !request.Lazy && c.limits.hasNewer(request.Limits) || document != nil && version > request.Version {
 			break
 		}
 		select {
@@ -213,6 +214,9 @@
 	}
 	now := SinceBoot()
 	c.servers.fillReply(request.List, now, reply)
+	if request.WantsLimits {
+		c.limits.fillReply(request.Limits, now, reply)
+	}
 	for _, m := range node.Members() {
 		reply.Members = append(reply.Members, m.Address)
 	}
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -10,6 +10,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -47,8 +48,12 @@
 	Members []string
 	Leader  string
 
-	listStamp  Stamp
-	compressed []byte
+	// Limits are the limits that backend servers named, by server id, also those that
+	// ended lately.
+	Limits map[string]serverlimit.Observation
+
+	listStamp, limitsStamp Stamp
+	compressed             []byte
 	// quarantined are the quarantine entries, with remaining times as of quarantinedAt.
 	quarantined   []message.Quarantine
 	quarantinedAt time.Duration
@@ -238,7 +243,8 @@
 	if w.options.Lazy {
 		wait = lazyWatchHold
 	}
-	request := &WatchRequest{Version: v.Version, List: v.listStamp, Wait: wait, Lazy: w.options.Lazy}
+	request := &WatchRequest{Version: v.Version, List: v.listStamp, Wait: wait, Lazy: w.options.Lazy,
+		WantsLimits: true, Limits: v.limitsStamp}
 	if v.Table == nil {
 		request.Version = 0
 	}
@@ -266,7 +272,7 @@
 	sent := SinceBoot()
 	var reply WatchReply
 	if err := w.options.Pool.Call(ctx, v.Leader, ServiceName+".Watch",
-		&WatchRequest{Version: v.Version, List: v.listStamp}, &reply); err != nil {
+		&WatchRequest{Version: v.Version, List: v.listStamp, WantsLimits: true, Limits: v.limitsStamp}, &reply); err != nil {
 		return err
 	}
 	return w.mergeReply(&reply, sent)
@@ -316,6 +322,13 @@
 		next.quarantined, next.quarantinedAt = reply.Quarantine, SinceBoot()
 		changed = true
 	}
+	if reply.HasLimits {
+		next.Limits, next.limitsStamp = make(map[string]serverlimit.Observation, len(reply.Limits)), reply.LimitsStamp
+		for server, age := range reply.Limits {
+			next.Limits[server] = age.At(sent + reply.Held)
+		}
+		changed = true
+	}
 	if len(reply.Members) > 0 {
 		next.Members = reply.Members
 	}
@@ -355,45 +368,3 @@
 	next.Leader = address
 	w.view.Store(&next)
 }
-
-// runListFallback reads the list directly from the platform while the control group provides
-// no recent one. The interval is randomized, so that the daemons do not read it all at once.
-func (w *Watcher) runListFallback(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause := listFallbackInterval + time.Duration(rand.Int63n(int64(listFallbackInterval/2)))
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
-		if age, ok := w.ListAge(); ok && age < listFallbackAge {
-			continue
-		}
-		start := SinceBoot()
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		servers, err := w.options.Directory.List(callCtx)
-		cancel()
-		if err != nil {
-			w.options.Logger.Warn("failed to read the platform's list of backend servers", zap.Error(err))
-			continue
-		}
-		w.setFallbackList(servers, start)
-	}
-}
-
-// setFallbackList stores a list that this daemon read from the platform itself.
-func (w *Watcher) setFallbackList(servers []backend.Server, readAt time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !storeMax(&w.listRead, readAt) {
-		return
-	}
-	next := *w.view.Load()
-	next.Servers, next.listStamp = backend.List{Servers: servers, Reports: next.Reports}.Merge(), Stamp{}
-	w.view.Store(&next)
-	w.options.Logger.Info("read the list of backend servers from the platform without the control group",
-		zap.Int("servers", len(servers)))
-	for _, listener := range w.listeners {
-		listener(&next)
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,8 @@
 	// Locator and Reserver may be nil.
 	Locator  Locator
 	Reserver Reserver
+	// Permits may be nil. Limits that servers name are then not kept.
+	Permits PermitSource
 	// CrashReporter may be nil.
 	CrashReporter CrashReporter
 	Name          string
@@ -145,7 +147,7 @@
 	logger   *zap.Logger
 	metrics  metrics
 	services serviceSet
-	limits   limitLog
+	limits   *limiter
 	lengths  lengthPredictor
 	started  time.Time
 
@@ -166,8 +168,8 @@
 		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
 	g.metrics = newMetrics(options.Metrics)
 	g.services.init(&options)
-	g.limits.init(options.Logger)
-	options.Fleet.OnChange(func(v *fleet.View) { g.services.update(g.elapsed(), v); g.limits.retain(v) })
+	g.limits = newLimiter(&options)
+	options.Fleet.OnChange(func(v *fleet.View) { g.services.update(g.elapsed(), v); g.limits.update(v) })
 	g.services.update(0, options.Fleet.View())
 	return g
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -49,6 +49,9 @@
 	deadline time.Time
 	retrier  *dispatch.Retrier
 	tried    []string
+	// limitedServers are the servers that did not get the last attempt because their
+	// limits are used up.
+	limitedServers []string
 	// sentAt is when the last attempt was sent.
 	sentAt time.Time
 	// suspect is set if servers crashed while running the request.
@@ -171,7 +174,7 @@
 			x.forwardResponse(ctx, u, body)
 		case dispatch.Refuse:
 			u.discard()
-			x.refuse("no backend server took the request", verdict.ReasonOverloaded)
+			x.refuseUnplaced(result)
 		case dispatch.Fail:
 			u.discard()
 			x.fail(http.StatusBadGateway, verdict.MayHaveRun, "the backend server gave no sound answer",
@@ -294,12 +297,25 @@
 	x.fail(http.StatusServiceUnavailable, verdict.NotRun, text, reason, retryAfter)
 }
 
-// fail sends an error response of the gateway itself.
-func (x *exchange) fail(status int, v verdict.Verdict, text string, reason verdict.Reason, retryAfter time.Duration) {
+// refuseUnplaced refuses a request that no server took.
+func (x *exchange) refuseUnplaced(result dispatch.Result) {
+	if result != dispatch.NoServer || len(x.limitedServers) == 0 {
+		x.refuse("no backend server took the request", verdict.ReasonOverloaded)
+		return
+	}
+	x.g.metrics.refused.Add(1)
+	retryAfter, fields := x.g.limits.refusal(x.service, x.limitedServers, x.g.random())
+	x.fail(http.StatusServiceUnavailable, verdict.NotRun, "the limits of the backend servers are used up",
+		verdict.ReasonOverloaded, retryAfter, fields...)
+}
+
+// fail sends an error response of the gateway itself and logs it with more fields.
+func (x *exchange) fail(status int, v verdict.Verdict, text string, reason verdict.Reason, retryAfter time.Duration,
+	fields ...zap.Field) {
 	if v != verdict.NotRun {
 		x.g.metrics.failed.Add(1)
 	}
-	x.logger.Info("request not served", zap.Int("status", status), zap.String("reason", string(reason)),
+	x.logger.With(fields...).Info("request not served", zap.Int("status", status), zap.String("reason", string(reason)),
 		zap.String("detail", text), zap.String("verdict", v.String()), zap.String("route", x.routeName()),
 		zap.Duration("retry_after_seconds", retryAfter))
 	header := http.Header{}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
@@ -51,11 +52,12 @@
 // place chooses a server and returns the name of a reservation there, if any. For a
 // generation it reserves memory first, because load reports are stale when they
 // arrive and all entries read the same ones. If no server has enough free memory,
-// the generation queues at the first choice.
+// the generation queues at the first choice. A server with a limit gets the
+// generation without a reservation, which would count against the limit too.
 func (x *exchange) place(ctx context.Context) (backend.Server, string, bool) {
 	query := placement.Query{Priority: x.priority, Blocks: x.blocks, Exclude: append([]string(nil), x.tried...)}
-	first, ok := x.g.services.choose(x.g.elapsed(), x.service, query)
-	if !ok || !x.needsReservation() {
+	first, limited, ok := x.chooseServer(ctx, query)
+	if !ok || limited || !x.needsReservation() {
 		return first, "", ok
 	}
 	server, asked := first, 0
@@ -76,23 +78,44 @@
 		}
 		query.Exclude = append(query.Exclude, server.ID)
 		if len(query.Exclude)-len(x.tried) < maxReserveAttempts {
-			if server, ok = x.g.services.choose(x.g.elapsed(), x.service, query); ok {
+			if server, limited, ok = x.chooseServer(ctx, query); ok && limited {
+				x.reportResult(first.ID, placement.Canceled)
+				return server, "", true
+			}
+			if ok {
 				continue
 			}
 		}
 		if ctx.Err() != nil || time.Since(x.r.arrived) > reserveTimeout {
 			x.logger.Info("generation queues without a reservation", zap.String("backend_server", first.ID),
 				zap.Int("servers_asked", asked))
-			return first, "", true
+			return x.placeUnreserved(ctx, first, query)
 		}
 		time.Sleep(reserveRetryDelay + time.Duration(x.g.random()*float64(reserveRetryDelay)))
 		query.Exclude = append([]string(nil), x.tried...)
-		if server, ok = x.g.services.choose(x.g.elapsed(), x.service, query); !ok {
-			return first, "", true
+		if server, limited, ok = x.chooseServer(ctx, query); !ok {
+			return x.placeUnreserved(ctx, first, query)
+		}
+		if limited {
+			x.reportResult(first.ID, placement.Canceled)
+			return server, "", true
 		}
 	}
 }
 
+// placeUnreserved returns first, or another server if first has named a limit
+// meanwhile that is used up.
+func (x *exchange) placeUnreserved(ctx context.Context, first backend.Server, query placement.Query) (
+	backend.Server, string, bool) {
+	if permitted, _ := x.g.limits.permit(ctx, first.ID, false); permitted {
+		return first, "", true
+	}
+	x.reportResult(first.ID, placement.Refused)
+	query.Exclude = append(slices.Clone(x.tried), first.ID)
+	server, _, ok := x.chooseServer(ctx, query)
+	return server, "", ok
+}
+
 // needsReservation reports whether memory is reserved for the request.
 func (x *exchange) needsReservation() bool {
 	if x.g.options.Reserver == nil || x.route.Kind != desired.Stream || x.metadata.PromptTokens == 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -199,6 +199,9 @@
 	if !ok {
 		return nil, errors.Errorf("no server is known at %s", address)
 	}
+	if !x.g.limits.permitResume(ctx, server.ID) {
+		return nil, errors.New("the limit of the server with the copy is used up")
+	}
 	f := x.forwardMetadata(server)
 	f.Copy, f.LastEventID, f.Priority = name, lastID, resumedPriority
 	next, result, err := x.g.send(ctx, server, x.r, f)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -14,6 +14,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/dispatch"
+	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 )
@@ -31,7 +32,9 @@
 
 // upstream is a request at a backend server, on a connection of its own.
 type upstream struct {
-	server   backend.Server
+	server backend.Server
+	// sentAt is the time since boot at which the request was sent.
+	sentAt   time.Duration
 	conn     net.Conn
 	limited  *io.LimitedReader
 	response *http.Response
@@ -78,7 +81,7 @@
 	if err != nil {
 		return nil, dispatch.NotSent, errors.Wrap(err, "connect")
 	}
-	u := &upstream{server: server, conn: conn, limited: &io.LimitedReader{R: conn, N: maxResponseHeadBytes}}
+	u := &upstream{server: server, sentAt: fleet.SinceBoot(), conn: conn, limited: &io.LimitedReader{R: conn, N: maxResponseHeadBytes}}
 	u.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetWriteDeadline(deadline)
