--- a/core/serverlimit/allocator.go
+++ b/core/serverlimit/allocator.go
@@ -25,8 +25,9 @@
 // to be sent to it.
 type Request struct {
 	Entry, Server string
-	// Known is what the entry knows about the limit, as of when it asks.
-	Known Age
+	// Known is what the entry knows about the limit, as of when it asks, nil if it
+	// knows nothing.
+	Known *Age
 	// Want is the number of permits, 0 if the entry only reports what it knows.
 	Want int
 	// Urgent is set for a request that continues a generation.
@@ -35,9 +36,9 @@
 
 // Reply answers a Request.
 type Reply struct {
-	// Known is the newest observation. If it says that the server has no limit, no
+	// Known is the newest observation, nil if there is none. Without a limit, no
 	// permits are needed.
-	Known   Age
+	Known   *Age
 	Permits int
 	// RetryIn is when to ask again if no permit was granted. SlotIn is when a caller
 	// that is refused may expect a permit, if the asking entries take turns.
@@ -114,12 +115,15 @@
 // Acquire merges what an entry knows and grants the permits that it asks for, as far
 // as the limit allows. It reports whether the known limit changed.
 func (a *Allocator) Acquire(now time.Duration, r Request) (reply Reply, changed bool) {
-	changed = a.Observe(now, r.Server, r.Known.At(now))
+	if r.Known != nil {
+		changed = a.Observe(now, r.Server, r.Known.At(now))
+	}
 	s := a.servers[r.Server]
 	if s == nil {
-		return Reply{Known: r.Known}, changed
+		return reply, changed
 	}
-	reply.Known = s.known.Age(now)
+	known := s.known.Age(now)
+	reply.Known = &known
 	if !s.known.Limited || r.Want == 0 {
 		return reply, changed
 	}
--- a/core/serverlimit/gate.go
+++ b/core/serverlimit/gate.go
@@ -119,7 +119,8 @@
 func (g *Gate) Request(now time.Duration, server string, urgent bool) Request {
 	r := Request{Server: server, Want: 1, Urgent: urgent}
 	if s := g.servers[server]; s != nil {
-		r.Known = s.known.Age(now)
+		known := s.known.Age(now)
+		r.Known = &known
 		if !urgent {
 			r.Want = min(max(s.demand, s.lastDemand, 1), maxWant)
 		}
@@ -130,10 +131,12 @@
 // Replied applies the reply to a request for permits that was made at askedAt. It
 // reports whether the request that needed one may be sent.
 func (g *Gate) Replied(askedAt, now time.Duration, server string, r Reply) bool {
-	// The age is as of when the reply was made, which was after askedAt.
-	g.Observe(server, r.Known.At(askedAt))
+	if r.Known != nil {
+		// The age is as of when the reply was made, which was after askedAt.
+		g.Observe(server, r.Known.At(askedAt))
+	}
 	s := g.servers[server]
-	if s == nil || !r.Known.Limited {
+	if s == nil || r.Known == nil || !r.Known.Limited {
 		return true
 	}
 	s.askers = max(1, r.Askers)
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -51,18 +51,18 @@
 	}
 }
 
-// acquire grants permits on the leader.
-func (l *limitTable) acquire(now time.Duration, r serverlimit.Request) serverlimit.Reply {
+// acquire grants permits. It returns false on a member that does not lead.
+func (l *limitTable) acquire(now time.Duration, r serverlimit.Request) (serverlimit.Reply, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.allocator == nil {
-		return serverlimit.Reply{Known: r.Known, RetryIn: serverlimit.UnreachablePause}
+		return serverlimit.Reply{}, false
 	}
 	reply, changed := l.allocator.Acquire(now, r)
 	if changed {
 		l.publishLocked()
 	}
-	return reply
+	return reply, true
 }
 
 // retain forgets the limits of servers that are not listed. It has no effect on a
@@ -140,7 +140,10 @@
 	now := SinceBoot()
 	c.limits.lead(now, status.Term)
 	c.metrics.permitRequests.Add(1)
-	reply.Reply = c.limits.acquire(now, request.Request)
+	leads := false
+	if reply.Reply, leads = c.limits.acquire(now, request.Request); !leads {
+		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "this member does not lead any more"))
+	}
 	c.metrics.permits.Add(int64(reply.Reply.Permits))
 	return nil
 }
@@ -171,8 +174,9 @@
 func (w *Watcher) ReportLimit(entry, server string, o serverlimit.Observation) {
 	go func() {
 		for try := 1; ; try++ {
-			r := serverlimit.Request{Entry: entry, Server: server, Known: o.Age(SinceBoot())}
-			_, err := w.AcquirePermits(context.Background(), r)
+			known := o.Age(SinceBoot())
+			_, err := w.AcquirePermits(context.Background(),
+				serverlimit.Request{Entry: entry, Server: server, Known: &known})
 			if err == nil {
 				return
 			}
