--- a/core/serverlimit/simulation_test.go
+++ b/core/serverlimit/simulation_test.go
@@ -55,6 +55,8 @@
 	// served, refused and returned count requests. Refused ones return after the
 	// delay that they were told, if they were not refused before.
 	served, refused, returned, returnedServed int
+	// asks counts the requests for permits that reached an allocator.
+	asks int
 }
 
 type simEntry struct {
@@ -170,6 +172,7 @@
 		if e.asksDeposed && s.deposed != nil {
 			allocator = s.deposed
 		}
+		s.asks++
 		reply, _ := allocator.Acquire(s.now, r)
 		s.publish()
 		s.after(s.delay(4), func() { then(e.gate.Replied(asked, s.now, server.name, reply)) })
@@ -430,6 +433,26 @@
 	}
 }
 
+// Guards against calls to the control group that grow faster than the entries and the
+// limit: twice a permit, and once a second for each entry that is denied.
+func TestRequestsForPermitsAreBounded(t *testing.T) {
+	for _, entries := range []int{16, 32, 128, 410} {
+		for _, limit := range []float64{0, 2, 10, 40} {
+			s := newSimulation(1, entries, 3)
+			const seconds = 30
+			s.load(max(60, 6*limit, 2*float64(entries)), seconds*time.Second, s.entries...)
+			s.name(0, limit)
+			s.run(seconds * time.Second)
+			s.checkBound(t, 0, limit, learnTime, seconds*time.Second)
+			perSecond := float64(s.asks) / seconds
+			t.Logf("%d entries, limit %v: %.0f requests for permits a second", entries, limit, perSecond)
+			if perSecond > 2*limit+float64(entries) {
+				t.Errorf("%d entries, limit %v: %.0f requests for permits a second", entries, limit, perSecond)
+			}
+		}
+	}
+}
+
 // Guards against a limit that changes while it stands.
 func TestLimitChanges(t *testing.T) {
 	for seed := range int64(20) {
