Answer requests that arrive while a stopping entry closes idle connections

It could happen here: after the notice, Drain put a read deadline in the past on every connection without a request, so a request that lay in the socket buffer or was sent within milliseconds, or whose caller had only just connected, got a closed connection. The deadline could also hit a request that began between the check and the call.

Idle connections now stay open for 0.5 s after the listener is closed, and the deadline and the mark of a busy connection change under one lock.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,8 +65,27 @@
 	conn    net.Conn
 	in      *bufio.Reader
 	out     *bufio.Writer
+
+	mu sync.Mutex
 	// busy is set while a request is being read or served.
-	busy atomic.Bool
+	busy bool
+}
+
+// setBusy records whether a request is being read or served. While it is, closeIdleAt
+// does not change the read deadline.
+func (c *callerConn) setBusy(busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = busy
+}
+
+// closeIdleAt makes the connection close at a time unless a request arrives before.
+func (c *callerConn) closeIdleAt(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy {
+		_ = c.conn.SetReadDeadline(at)
+	}
 }
 
 // serve handles the requests on the connection until it closes.
@@ -81,9 +101,9 @@
 		if _, err := c.in.Peek(1); err != nil {
 			return
 		}
-		c.busy.Store(true)
+		c.setBusy(true)
 		keepAlive := c.serveRequest(limits)
-		c.busy.Store(false)
+		c.setBusy(false)
 		if !keepAlive || c.gateway.closing.Load() {
 			c.lingerClose()
 			return
--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against a stop that closes connections on which a request has just arrived,
+// or whose caller has connected but not sent its request yet, without an answer.
+func TestStopAnswersRequestsThatJustArrived(t *testing.T) {
+	const connections = 60
+	server := newTestServer(t, echo)
+	h := newHarness(t, nil, server)
+	request := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nT-Id: %d\r\nT-Key: key\r\nT-Budget: 3000\r\nContent-Length: 4\r\n\r\ndata"
+	var conns []net.Conn
+	for i := range connections {
+		conn, err := net.Dial("tcp", h.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
+		if i%2 == 0 {
+			continue
+		}
+		// A kept connection has served a request before.
+		_, _ = fmt.Fprintf(conn, request, i)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatal(response, err)
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		h.gateway.Drain(ctx, 0, h.listen)
+		close(drained)
+	}()
+	var group sync.WaitGroup
+	for i, conn := range conns {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			_, _ = fmt.Fprintf(conn, request, connections+i)
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.StatusCode != http.StatusOK || !response.Close {
+				t.Errorf("request %d ms after the stop: %v, %v", i, response, err)
+			}
+		}()
+	}
+	group.Wait()
+	select {
+	case <-drained:
+	case <-ctx.Done():
+		t.Error("the drain did not end before its deadline")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,23 +255,25 @@
 	}
 	_ = listener.Close()
 	g.closing.Store(true)
-	for ctx.Err() == nil && g.closeIdle() > 0 {
+	idleUntil := time.Now().Add(drainIdleGrace)
+	for ctx.Err() == nil && g.closeIdle(idleUntil) > 0 {
 		time.Sleep(drainPollInterval)
 	}
 	g.logger.Info("drained", zap.Int64("requests_left", g.activeRequests.Load()))
 }
 
-// closeIdle closes idle connections and returns the number of the others.
-func (g *Gateway) closeIdle() int {
+// drainIdleGrace is how long connections without a request stay open after the
+// listener was closed. A request that was sent before the caller could know of the
+// stop arrives meanwhile.
+const drainIdleGrace = 500 * time.Millisecond
+
+// closeIdle makes idle connections close at a time, and returns the number of
+// connections that are still open.
+func (g *Gateway) closeIdle(at time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	busy := 0
 	for c := range g.conns {
-		if c.busy.Load() {
-			busy++
-		} else {
-			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
-		}
+		c.closeIdleAt(at)
 	}
-	return busy
+	return len(g.conns)
 }
