Use a new connection for each generation at a backend server

Another operator's report: a second copy of an answer came late on a connection that was in use again, and the next caller got it. It could happen here, in the agents of INI deployments: generations reused connections, and nothing compared the id in an event with the request's. TestLateCopyOfAnAnswer failed: request two got the token of request one, and a late 503 made the agent say that a request had not run which the server then ran.

Each generation now has its own connection, as calls and control requests had, and an event that names another request breaks the stream. The gateway of platform deployments always used new connections.

--- a/engine/client.go
+++ b/engine/client.go
@@ -18,10 +18,7 @@
 
 // Timeouts and size limits of requests to a backend server.
 const (
-	dialTimeout     = 2 * time.Second
-	idleConnTimeout = 2 * time.Second
-	// closeDrainTimeout limits how long Close reads the rest of a finished stream.
-	closeDrainTimeout    = 50 * time.Millisecond
+	dialTimeout          = 2 * time.Second
 	maxEventBytes        = 256 << 10
 	maxForwardBodyBytes  = 8 << 20
 	maxControlReplyBytes = 1 << 20
@@ -31,30 +28,18 @@
 
 // Client is an HTTP client of a backend server.
 //
-// Each call and each control request uses a new connection. On a reused one, the
-// transport would retry requests that it considers replayable, for example one
-// without a body that has an idempotency key, and an idle connection may have
-// failed without notice. Generations reuse connections after a short idle time,
-// because connecting takes most of the time to the first token. The transport does
-// not consider them replayable, and a generation on a failed connection is resumed
-// after an idle timeout.
+// Each request uses a new connection. On a reused one, a late second copy of an
+// answer would be taken for the answer to the next request, the transport would retry
+// requests that it considers replayable, for example one without a body that has an
+// idempotency key, and an idle connection may have failed without notice.
 type Client struct {
 	base string
-	// unpooled opens a connection for each request; pooled reuses connections.
-	unpooled        *http.Client
-	pooled          *http.Client
-	pooledTransport *http.Transport
+	http *http.Client
 }
 
 // NewClient returns a client for a backend server at an IP address and port.
 func NewClient(address string) *Client {
-	transport := newTransport()
-	transport.DisableKeepAlives = false
-	return &Client{
-		base: "http://" + address, pooledTransport: transport,
-		unpooled: &http.Client{Transport: newTransport(), CheckRedirect: noRedirect},
-		pooled:   &http.Client{Transport: transport, CheckRedirect: noRedirect},
-	}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: newTransport(), CheckRedirect: noRedirect}}
 }
 
 // noRedirect returns redirects to the caller instead of following them, because
@@ -71,10 +56,8 @@
 			}
 			return conn, nil
 		},
-		DisableKeepAlives:   true,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     idleConnTimeout,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
 }
 
@@ -103,7 +86,7 @@
 		return nil, errors.Wrap(err, "build request")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.pooled.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, transportError(err)
 	}
@@ -115,7 +98,7 @@
 	}
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	return &sseStream{body: resp.Body, scanner: scanner}, nil
+	return &sseStream{requestID: r.ID, body: resp.Body, scanner: scanner}, nil
 }
 
 // generateBody merges the options of the request into the caller's JSON. It returns
@@ -170,12 +153,11 @@
 
 // sseStream reads a generation from a stream of server-sent events.
 type sseStream struct {
-	body    io.ReadCloser
-	scanner *bufio.Scanner
+	requestID string
+	body      io.ReadCloser
+	scanner   *bufio.Scanner
 	// sawDone is set after the [DONE] event.
 	sawDone bool
-	// finished is set while the last event had a finish reason.
-	finished bool
 }
 
 // chunk is the JSON of one event.
@@ -207,9 +189,7 @@
 			s.sawDone = true
 			return Event{}, io.EOF
 		}
-		e, err := decodeChunk(data)
-		s.finished = e.FinishReason != ""
-		return e, err
+		return s.decodeChunk(data)
 	}
 	if s.sawDone {
 		return Event{}, io.EOF
@@ -220,11 +200,14 @@
 	return Event{}, ErrConnectionLost
 }
 
-func decodeChunk(data []byte) (Event, error) {
+func (s *sseStream) decodeChunk(data []byte) (Event, error) {
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Event{}, errors.Wrapf(ErrConnectionLost, "event is not valid JSON: %v", err)
 	}
+	if c.ID != "" && c.ID != s.requestID {
+		return Event{}, errors.Wrapf(ErrConnectionLost, "event of request %q", c.ID)
+	}
 	e := Event{Generation: c.Generation, Index: c.Index, Preempted: c.Preempted}
 	if len(c.Choices) == 0 {
 		return e, nil
@@ -246,16 +229,7 @@
 
 // Close closes the stream. If the generation has finished, it first reads the rest
 // of the stream, so that the connection can be reused.
-func (s *sseStream) Close() error {
-	if s.finished {
-		timer := time.AfterFunc(closeDrainTimeout, func() { _ = s.body.Close() })
-		defer timer.Stop()
-		for s.scanner.Scan() {
-			continue
-		}
-	}
-	return s.body.Close()
-}
+func (s *sseStream) Close() error { return s.body.Close() }
 
 // do sends a control request and decodes the JSON reply into out, unless it is nil.
 func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
@@ -266,7 +240,7 @@
 	for k, v := range header {
 		req.Header[k] = v
 	}
-	resp, err := c.unpooled.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return transportError(err)
 	}
@@ -286,11 +260,8 @@
 	return errors.Wrap(json.Unmarshal(data, out), "decode reply")
 }
 
-// Cancel stops a generation. It closes the idle connections, because the generation
-// may be canceled after its connection failed without notice, and they may have
-// failed too.
+// Cancel stops a generation.
 func (c *Client) Cancel(ctx context.Context, id string) error {
-	c.pooledTransport.CloseIdleConnections()
 	return c.do(ctx, http.MethodDelete, "/v1/requests/"+id, nil, nil, nil)
 }
 
@@ -332,7 +303,7 @@
 	for k, v := range r.HTTPHeader {
 		req.Header[k] = v
 	}
-	resp, err := c.unpooled.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return Response{}, transportError(err)
 	}
