Bound the memory and the head of responses without an end

All responses of an entry now share 32 MiB; 64 KiB of each are free, so that usual responses need no share. What exceeds it fails as may have run. The test now stays within 64 MiB of live memory. - informational responses without end were read until the request's time was over. All of them and the head now share 64 KiB. Bodies, chunks, error bodies, streams without events, and a byte now and then in each of them ended before as well, by size or by the request's time, and the connection was closed; TestResponseWithoutEnd keeps it so.

--- /dev/null
+++ b/gateway/budget.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// unbudgetedBytes is what each request may hold of a response without a share of
+	// the budget. Nearly all responses and events are smaller, so responses without an
+	// end cost only large responses.
+	unbudgetedBytes = 64 << 10
+	// defaultBufferBytes is the budget if the memory of the host is unknown.
+	defaultBufferBytes = 32 << 20
+	// budgetStep is the least number of bytes that is taken from the budget.
+	budgetStep = 64 << 10
+)
+
+// errBufferBudget is returned for a response that exceeds the memory for all responses.
+var errBufferBudget = errors.New("the responses being read take too much memory")
+
+// bufferBudget bounds the memory of the parts of responses that are held in memory, for
+// all requests together.
+type bufferBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// budgetShare is what one request takes from the budget.
+type budgetShare struct {
+	budget *bufferBudget
+	taken  int64
+}
+
+// hold makes the request hold n bytes, and returns false if the budget is used up.
+func (s *budgetShare) hold(n int) bool {
+	needed := int64(n) - unbudgetedBytes - s.taken
+	if needed <= 0 {
+		return true
+	}
+	needed = max(needed, budgetStep)
+	if s.budget.used.Add(needed) > s.budget.limit {
+		s.budget.used.Add(-needed)
+		return false
+	}
+	s.taken += needed
+	return true
+}
+
+// release returns the share to the budget.
+func (s *budgetShare) release() {
+	s.budget.used.Add(-s.taken)
+	s.taken = 0
+}
+
+// readAll reads a body of at most limit bytes into memory.
+func (s *budgetShare) readAll(body io.Reader, limit int) ([]byte, error) {
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			size := max(2*cap(data), upstreamBufferBytes)
+			if !s.hold(size) {
+				return nil, errBufferBudget
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if len(data) > limit {
+			return nil, errors.Errorf("response body exceeds %d bytes", limit)
+		}
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"math/rand"
 	"net"
@@ -137,8 +138,11 @@
 	// is the share of this entry.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
-	Logger                 *zap.Logger
-	Metrics                *observe.Metrics
+	// BufferBytes bounds the memory of the parts of responses that are held in memory, 0
+	// for the default.
+	BufferBytes int64
+	Logger      *zap.Logger
+	Metrics     *observe.Metrics
 }
 
 // Gateway is the reverse proxy of one entry.
@@ -149,6 +153,7 @@
 	services serviceSet
 	limits   *limiter
 	lengths  lengthPredictor
+	buffers  bufferBudget
 	started  time.Time
 
 	draining, closing atomic.Bool
@@ -166,6 +171,7 @@
 func New(options Options) *Gateway {
 	g := &Gateway{options: options, logger: options.Logger, started: time.Now(), conns: map[*callerConn]struct{}{},
 		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
+	g.buffers.limit = cmp.Or(options.BufferBytes, defaultBufferBytes)
 	g.metrics = newMetrics(options.Metrics)
 	g.services.init(&options)
 	g.limits = newLimiter(&options)
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -56,6 +55,8 @@
 	sentAt time.Time
 	// suspect is set if servers crashed while running the request.
 	suspect bool
+	// buffers is the memory that the response holds.
+	buffers budgetShare
 	logger  *zap.Logger
 }
 
@@ -64,17 +65,14 @@
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	g.metrics.requests.Add(1)
-	x := &exchange{g: g, r: r, w: w, metadata: g.options.Dialect.ReadRequest(r.Header)}
+	x := &exchange{g: g, r: r, w: w, metadata: g.options.Dialect.ReadRequest(r.Header),
+		buffers: budgetShare{budget: &g.buffers}}
+	defer x.buffers.release()
 	x.logger = g.logger.With(zap.String("request_id", x.metadata.ID))
 	if !x.admit() || x.refuseQuarantined() {
 		return
 	}
-	timeout := defaultTimeout
-	if x.metadata.Timeout > 0 {
-		timeout = min(timeout, x.metadata.Timeout)
-	}
-	timeout = min(timeout, x.route.Timeout)
-	x.deadline = r.arrived.Add(timeout)
+	x.deadline = r.arrived.Add(x.timeLimit())
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.service = x.route.PickService(g.random())
@@ -88,6 +86,16 @@
 	}
 }
 
+// timeLimit returns how long the request may take: as long as its route allows and its
+// caller waits.
+func (x *exchange) timeLimit() time.Duration {
+	timeout := defaultTimeout
+	if x.metadata.Timeout > 0 {
+		timeout = min(timeout, x.metadata.Timeout)
+	}
+	return min(timeout, x.route.Timeout)
+}
+
 // admit determines the route, caller and priority of the request and predicts its
 // output length. It returns false if it rejected the request.
 func (x *exchange) admit() bool {
@@ -218,13 +226,11 @@
 	if u == nil || result == dispatch.Refused || result == dispatch.Lost || x.isStream(u) {
 		return nil, result, err
 	}
-	body, err := io.ReadAll(io.LimitReader(u.response.Body, maxBufferedBytes+1))
+	x.buffers.release()
+	body, err := x.buffers.readAll(u.response.Body, maxBufferedBytes)
 	if err != nil {
 		return nil, dispatch.Lost, err
 	}
-	if len(body) > maxBufferedBytes {
-		return nil, dispatch.Lost, fmt.Errorf("response body exceeds %d bytes", maxBufferedBytes)
-	}
 	return body, result, nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,6 +23,7 @@
 // eventReader splits a stream into complete events.
 type eventReader struct {
 	in      io.Reader
+	buffers *budgetShare
 	pending []byte
 	// lastID is the id of the last event returned by next.
 	lastID string
@@ -45,6 +46,9 @@
 		if len(e.pending) > maxEventBytes {
 			return nil, errors.Errorf("event exceeds %d bytes", maxEventBytes)
 		}
+		if !e.buffers.hold(cap(e.pending)) {
+			return nil, errBufferBudget
+		}
 		if errors.Is(err, io.EOF) && len(e.pending) > 0 {
 			return nil, io.ErrUnexpectedEOF
 		}
@@ -84,7 +88,7 @@
 		x.callerGone(err)
 		return
 	}
-	events, timing := &eventReader{in: u.response.Body}, eventTiming{lastEvent: x.r.arrived}
+	events, timing := &eventReader{in: u.response.Body, buffers: &x.buffers}, eventTiming{lastEvent: x.r.arrived}
 	for resumes := 0; ; resumes++ {
 		sent, err := x.forwardEvents(events, &timing)
 		switch {
@@ -118,7 +122,7 @@
 		u.close()
 		defer next.close()
 		u = next
-		events = &eventReader{in: u.response.Body, lastID: events.lastID, count: events.count}
+		events = &eventReader{in: u.response.Body, buffers: &x.buffers, lastID: events.lastID, count: events.count}
 	}
 }
 
--- /dev/null
+++ b/gateway/trouble_test.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/fleet"
+)
+
+// rawHandler takes over the connection of a request and lets respond write to it.
+func rawHandler(respond func(conn io.Writer, id string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		respond(conn, r.Header.Get("T-Id"))
+	}
+}
+
+// writeUntilClosed repeats a text until the other side closes, and returns the number
+// of bytes that were taken.
+func writeUntilClosed(w io.Writer, text string, pause time.Duration) (taken int) {
+	for {
+		n, err := io.WriteString(w, text)
+		taken += n
+		if err != nil {
+			return taken
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Guards against responses without an end that hold a request longer than its time,
+// and against streams that send a byte now and then and never end.
+func TestResponseWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\n"
+	for _, c := range []struct {
+		name, path, head, text string
+		pause                  time.Duration
+		status                 int
+	}{
+		{"bytes that are no head", "/once/x", "", "garbage ", 0, 502},
+		{"one header line", "/once/x", "HTTP/1.1 200 OK\r\nA: ", "garbage ", 0, 502},
+		{"header lines", "/once/x", "HTTP/1.1 200 OK\r\n", "A: b\r\n", 0, 502},
+		{"informational responses", "/once/x", "", "HTTP/1.1 102 Processing\r\n\r\n", 0, 502},
+		{"slow head", "/once/x", "HTTP/1.1 200 OK\r\nA: ", "x", 20 * time.Millisecond, 504},
+		{"body", "/once/x", head + "\r\n", "garbage ", 0, 502},
+		{"chunks", "/once/x", head + "Transfer-Encoding: chunked\r\n\r\n", "8\r\ngarbage \r\n", 0, 502},
+		{"slow body", "/once/x", head + "\r\n", "x", 20 * time.Millisecond, 502},
+		{"error body", "/once/x", "HTTP/1.1 500 Internal Server Error\r\nT-Id: %s\r\n\r\n", "garbage ", 0, 502},
+		{"stream of bytes that are no events", "/stream/x", head + "\r\n", "garbage ", 0, 0},
+		{"slow stream of bytes that are no events", "/stream/x", head + "\r\n", "x", 20 * time.Millisecond, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan int, 1)
+			server := newTestServer(t, rawHandler(func(conn io.Writer, id string) {
+				_, _ = io.WriteString(conn, strings.ReplaceAll(c.head, "%s", id))
+				closed <- writeUntilClosed(conn, c.text, c.pause)
+			}))
+			h := newHarness(t, nil, server)
+			h.fleet.set(func(f *testFleet) {
+				state := *f.view.Table.State
+				for i := range state.Routes {
+					state.Routes[i].Timeout = 400 * time.Millisecond
+				}
+				f.view = &fleet.View{Table: desired.NewTable(&state), Version: 2, Servers: f.view.Servers}
+			})
+			status, _, body, err := h.call(c.path)
+			if c.status != 0 && (err != nil || status != c.status || !strings.Contains(body, "may_have_run")) {
+				t.Errorf("%d %q %v, want %d", status, body, err, c.status)
+			}
+			if c.status == 0 && err == nil {
+				t.Errorf("a stream without an end looked complete: %d, %d bytes", status, len(body))
+			}
+			select {
+			case n := <-closed:
+				t.Logf("%d bytes taken", n)
+			case <-time.After(2 * time.Second):
+				t.Error("the connection to the server is still open")
+			}
+		})
+	}
+}
+
+// Guards against responses without an end that together take more memory than a host
+// has.
+func TestResponsesWithoutEndShareMemory(t *testing.T) {
+	const requests = 40
+	garbage := bytes.Repeat([]byte("garbage "), (maxBufferedBytes-1024)/8)
+	server := newTestServer(t, rawHandler(func(conn io.Writer, id string) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\n\r\n", id)
+		_, _ = conn.Write(garbage)
+		// The end is held back, so that all bodies are held at the same time.
+		time.Sleep(300 * time.Millisecond)
+	}))
+	h := newHarness(t, nil, server)
+	h.fleet.set(func(f *testFleet) {
+		state := *f.view.Table.State
+		for i := range state.Routes {
+			state.Routes[i].Timeout = 20 * time.Second
+		}
+		f.view = &fleet.View{Table: desired.NewTable(&state), Version: 2, Servers: f.view.Servers}
+	})
+	liveBytes := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before, peak := liveBytes(), uint64(0)
+	var group sync.WaitGroup
+	for range requests {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			conn, err := net.Dial("tcp", h.address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nT-Id: id-1\r\nT-Key: key\r\n"+
+				"Connection: close\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+	}
+	done := make(chan struct{})
+	go func() { group.Wait(); close(done) }()
+	for finished := false; !finished; {
+		select {
+		case <-done:
+			finished = true
+		case <-time.After(20 * time.Millisecond):
+			peak = max(peak, liveBytes())
+		}
+	}
+	const allowed = 2 * defaultBufferBytes
+	if peak > before+allowed {
+		t.Errorf("%d MB in use while %d responses are read, %d MB before", peak>>20, requests, before>>20)
+	}
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -25,7 +25,9 @@
 	connectTimeout = 250 * time.Millisecond
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed.
-	tcpUserTimeout       = 1500 * time.Millisecond
+	tcpUserTimeout = 1500 * time.Millisecond
+	// maxResponseHeadBytes limits the head of a response with all informational
+	// responses before it.
 	maxResponseHeadBytes = 64 << 10
 	upstreamBufferBytes  = 4 << 10
 )
@@ -123,8 +125,8 @@
 // classifies it.
 func (g *Gateway) readResponse(u *upstream, r *request) (dispatch.Result, error) {
 	in := bufio.NewReaderSize(u.limited, upstreamBufferBytes)
+	u.limited.N = maxResponseHeadBytes
 	for {
-		u.limited.N = maxResponseHeadBytes
 		response, err := http.ReadResponse(in, r.Request)
 		if err != nil {
 			return dispatch.Lost, errors.Wrap(err, "read the response")
