Let requests take as long as their route and caller allow

A generation of 20,000 tokens at 59 ms takes 20 minutes.

The default now applies only to a route without a timeout. TestTimeLimit: 10 minutes gave 1 minute before. Stalled streams that send a byte now and then do end, at the request's time: TestResponseWithoutEnd.

--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -23,8 +24,7 @@
 	// maxNotFoundAge is the age of the last confirmation up to which a route or key
 	// that is not found counts as not declared.
 	maxNotFoundAge = time.Second
-	// defaultTimeout applies if the caller does not say how long it waits. It also
-	// bounds the timeouts of callers and routes.
+	// defaultTimeout applies if the route declares no timeout.
 	defaultTimeout = time.Minute
 	// defaultOutputFraction is the fraction of the maximum output length that is
 	// expected if the caller gives no estimate and no output of the route is known.
@@ -89,11 +89,11 @@
 // timeLimit returns how long the request may take: as long as its route allows and its
 // caller waits.
 func (x *exchange) timeLimit() time.Duration {
-	timeout := defaultTimeout
+	timeout := cmp.Or(x.route.Timeout, defaultTimeout)
 	if x.metadata.Timeout > 0 {
 		timeout = min(timeout, x.metadata.Timeout)
 	}
-	return min(timeout, x.route.Timeout)
+	return timeout
 }
 
 // admit determines the route, caller and priority of the request and predicts its
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// Guards against a slow stream that is cut before the time that its route and its caller
+// allow, and against a request without a bound.
+func TestTimeLimit(t *testing.T) {
+	for _, c := range []struct{ route, caller, want time.Duration }{
+		{10 * time.Minute, 0, 10 * time.Minute}, {10 * time.Minute, 20 * time.Minute, 10 * time.Minute},
+		{10 * time.Minute, 5 * time.Minute, 5 * time.Minute}, {time.Second, 0, time.Second}, {0, 0, defaultTimeout},
+	} {
+		x := &exchange{route: &desired.Route{Timeout: c.route}, metadata: RequestMetadata{Timeout: c.caller}}
+		if got := x.timeLimit(); got != c.want {
+			t.Errorf("route %v, caller %v: %v, want %v", c.route, c.caller, got, c.want)
+		}
+	}
+}
+
 // Guards against responses without an end that hold a request longer than its time,
 // and against streams that send a byte now and then and never end.
 func TestResponseWithoutEnd(t *testing.T) {
