Do not take the refusal of another request for one of this request

Another operator's report: after an answer was lost, the caller was told that work had not run which had. It could happen here when a server sends an extra response that says 'not executed' for another request: the id was checked after the refusal.

The id is checked first, and the request may have run. The new case of TestFaultyServers gave 503 (not run) and a second run before, and gives 502 and one run now. The other way in the report, work that is run again, is covered by TestFaultyServers and core/dispatch: what was sent without a sound answer is never sent again unless it is repeatable.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -261,6 +261,8 @@
 		{"not HTTP", "/once/x", hijack("garbage\r\n\r\n"), 502, 1, false},
 		{"response to another request", "/once/x",
 			hijack("HTTP/1.1 200 OK\r\nT-Id: other\r\nT-Seal: s\r\nContent-Length: 2\r\n\r\nok"), 502, 1, false},
+		{"refusal of another request", "/once/x",
+			hijack("HTTP/1.1 503 Busy\r\nT-Id: other\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), 502, 1, false},
 		{"without a seal", "/once/x", hijack("HTTP/1.1 200 OK\r\nT-Id: ID\r\nContent-Length: 2\r\n\r\nok"), 502, 1, false},
 		{"encoded", "/once/x", hijack(head + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"), 502, 1, false},
 		{"503 that may have run", "/once/x",
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -152,10 +152,10 @@
 func classify(u *upstream, id string) (dispatch.Result, error) {
 	status := u.response.StatusCode
 	switch {
-	case u.metadata.NotRun:
-		return dispatch.Refused, nil
 	case u.metadata.ID != "" && u.metadata.ID != id:
 		return dispatch.Lost, errors.Errorf("the response is for request %q", u.metadata.ID)
+	case u.metadata.NotRun:
+		return dispatch.Refused, nil
 	case status < http.StatusOK || u.metadata.Encoded:
 		return dispatch.Lost, errors.Errorf("response with status %d is not the original response of the server", status)
 	case status < http.StatusMultipleChoices && !u.metadata.Sealed:
