Read the age of the confirmation before the state that it confirms

The same order matters where both are read: an entry took the view first and the age after it, so an old view could be taken for a newly confirmed one, with 404 or 401 for what the newer one declares. TestStateChangesDuringAdmission gave 404 before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -487,3 +487,36 @@
 		}
 	}
 }
+
+// changingFleet is a Fleet whose state changes, and is confirmed, just before the first
+// call of ConfirmedAge.
+type changingFleet struct {
+	*testFleet
+	old     *fleet.View
+	changed atomic.Bool
+}
+
+func (f *changingFleet) View() *fleet.View {
+	if !f.changed.Load() {
+		return f.old
+	}
+	return f.testFleet.View()
+}
+
+func (f *changingFleet) ConfirmedAge() (time.Duration, bool) {
+	f.changed.Store(true)
+	return 0, true
+}
+
+// Guards against an old state that is taken for a confirmed one because a newer state
+// and its confirmation arrive while the request is admitted.
+func TestStateChangesDuringAdmission(t *testing.T) {
+	h := newHarness(t, nil, newTestServer(t, echo))
+	state := *h.fleet.View().Table.State
+	state.Routes = nil
+	h.gateway.options.Fleet = &changingFleet{testFleet: h.fleet,
+		old: &fleet.View{Table: desired.NewTable(&state), Version: 0}}
+	if status, _, body, err := h.call("/once/x"); err != nil || status != 200 {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+}
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -100,8 +100,9 @@
 // output length. It returns false if it rejected the request.
 func (x *exchange) admit() bool {
 	g := x.g
-	view := g.options.Fleet.View()
+	// The age is read before the view, which is then at least as new as the confirmed one.
 	age, confirmed := g.options.Fleet.ConfirmedAge()
+	view := g.options.Fleet.View()
 	if view.Table == nil || !confirmed {
 		x.refuse("no desired state is known", verdict.ReasonNotReady)
 		return false
