Report a generation as not run only if no attempt may have reached the engine

From the list of faults found by reading: the end of a suspect that may not run now said 'not run' although an earlier segment, preempted before its first event, had been sent to the engine. The same holds for a generation whose first stream fell silent before its first event and whose second attempt is refused. The caller may then run it again.

A run now remembers that an attempt ended without a proof, and both ends take their verdict from one function. TestVerdictAfterAnEarlierAttempt: the cases begun, lost and in use, each then refused, gave not_run before and may_have_run now; refused and unreachable stay not_run.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -53,14 +53,12 @@
 	return end
 }
 
-// suspectEnd returns the end of a suspect that may not run now. If it has tokens
-// already, for example because it was preempted, it has partly run.
+// suspectEnd returns the end of a suspect that may not run now. It may have run
+// before, for example if it was preempted.
 func (r *run) suspectEnd() message.End {
 	refusal := suspectRefusal()
-	if r.nextIndex() > 0 {
-		refusal.Verdict = verdict.Ran
-	}
-	return message.End{Verdict: refusal.Verdict, Started: r.nextIndex() > 0, Refusal: refusal}
+	refusal.Verdict = r.provenVerdict()
+	return message.End{Verdict: refusal.Verdict, Started: refusal.Verdict != verdict.NotRun, Refusal: refusal}
 }
 
 func suspectRefusal() message.Refusal {
@@ -139,6 +137,9 @@
 func (b *backendServer) openStream(ctx context.Context, r *run) (engine.Stream, error) {
 	for try := 0; ; try++ {
 		stream, err := b.engine.Generate(ctx, r.engineRequest())
+		if !provesNotRun(err) {
+			r.setMayHaveRun()
+		}
 		if !errors.Is(err, engine.ErrInUse) || try >= maxInUseRetries || !r.canResume(engine.ErrConnectionLost) {
 			return stream, err
 		}
--- a/agent/run.go
+++ b/agent/run.go
@@ -33,6 +33,8 @@
 	// first one starts.
 	segment    *segment
 	dispatched bool
+	// mayHaveRun is set after an attempt that the engine may have run.
+	mayHaveRun bool
 	// delivered is set when no caller needs the answer any more.
 	delivered bool
 	// cancelReason is why the run was canceled, or empty.
@@ -258,20 +260,39 @@
 	return fault && r.generation != "" && r.cancelReason == "" && r.window.CanResumeFrom(r.request.Continue.From)
 }
 
+func (r *run) setMayHaveRun() {
+	r.mu.Lock()
+	r.mayHaveRun = true
+	r.mu.Unlock()
+}
+
+// provenVerdict returns whether the generation ran, as far as its attempts prove it.
+func (r *run) provenVerdict() verdict.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.generation != "" || r.window.Next() > 0:
+		return verdict.Ran
+	case r.mayHaveRun:
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
 // endForError returns the end of a run whose engine stream failed with an error.
 func (r *run) endForError(err error) message.End {
+	proven := r.provenVerdict()
 	r.mu.Lock()
-	started := r.generation != ""
 	cancelReason, cancelMessage := r.cancelReason, r.cancelMessage
 	r.mu.Unlock()
 	end := message.End{Started: true, Verdict: verdict.MayHaveRun}
-	if started {
+	if proven == verdict.Ran {
 		end.Verdict = verdict.Ran
 	}
 	switch {
 	case cancelReason != "":
 		end.Refusal = message.Refusal{Verdict: end.Verdict, Reason: cancelReason, Message: cancelMessage}
-	case !started && provesNotRun(err):
+	case proven == verdict.NotRun && provesNotRun(err):
 		end.Started, end.Verdict = false, verdict.NotRun
 		end.Refusal = message.NewRefusal(verdict.ReasonBackendError, err.Error(), 0)
 	case errors.Is(err, errBackendCrashed):
