--- a/core/serverlimit/gate.go
+++ b/core/serverlimit/gate.go
@@ -86,8 +86,9 @@
 	return changed
 }
 
-// Take decides about a request to a server and uses a permit if there is one.
-func (g *Gate) Take(now time.Duration, server string) Decision {
+// Take decides about a request to a server and uses a permit if there is one. An urgent
+// request, which continues a generation, does not wait for the entry's next turn.
+func (g *Gate) Take(now time.Duration, server string, urgent bool) Decision {
 	s := g.servers[server]
 	if s == nil || !s.known.Limited {
 		return Send
@@ -97,7 +98,7 @@
 		s.permits--
 		return Send
 	}
-	if now < s.askAfter || now < g.unreachableUntil {
+	if now < s.askAfter && !urgent || now < g.unreachableUntil {
 		return Wait
 	}
 	return Ask
--- a/core/serverlimit/simulation_test.go
+++ b/core/serverlimit/simulation_test.go
@@ -140,7 +140,7 @@
 		return
 	}
 	server := usable[s.rng.Intn(len(usable))]
-	switch e.gate.Take(s.now, server.name) {
+	switch e.gate.Take(s.now, server.name, false) {
 	case Send:
 		s.send(e, server, returned)
 	case Wait:
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -253,13 +253,13 @@
 
 // destinations returns the servers that could take generations. A generation that
 // continues at a server counts against the server's limit, so servers with limits are
-// left out. The caller must hold a.mu.
+// used only if there are no others. The caller must hold a.mu.
 func (a *Agent) destinations() []evacuation.Destination {
-	var list []evacuation.Destination
+	var list, limited []evacuation.Destination
 	v := a.options.Fleet.View()
 	for _, server := range v.Servers {
 		if server.Service != a.options.Service || server.Leaving || server.Address == a.options.Address ||
-			v.Limits[server.ID].Limited || time.Since(a.refusedAt[server.Address]) < refusalBackoff {
+			time.Since(a.refusedAt[server.Address]) < refusalBackoff {
 			continue
 		}
 		d := evacuation.Destination{Address: server.Address, SameDomain: server.FailureDomain == a.options.FailureDomain,
@@ -268,8 +268,15 @@
 			d.FreeSlots -= report.Load.Running
 			d.FreeTokens = report.Load.TotalTokens - report.Load.UsedTokens
 		}
+		if v.Limits[server.ID].Limited {
+			limited = append(limited, d)
+			continue
+		}
 		list = append(list, d)
 	}
+	if len(list) == 0 {
+		return limited
+	}
 	return list
 }
 
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/evacuation"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
@@ -155,3 +157,26 @@
 		t.Errorf("calls %q", engine.calls)
 	}
 }
+
+// Guards against generations that are moved to a server with a limit while another one
+// has none, and against generations that are cut off because all others have one.
+func TestServersWithLimitsAreTheLastDestinations(t *testing.T) {
+	a, _ := newAgent(t, &testEngine{copied: map[string]int{}})
+	addresses := func() (list []string) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, d := range a.destinations() {
+			list = append(list, d.Address)
+		}
+		return list
+	}
+	view := a.options.Fleet.View()
+	view.Limits = map[string]serverlimit.Observation{"near": {Limited: true}}
+	if got := addresses(); !slices.Equal(got, []string{"far"}) {
+		t.Errorf("one server with a limit: %v", got)
+	}
+	view.Limits["far"] = serverlimit.Observation{Limited: true}
+	if got := addresses(); !slices.Equal(got, []string{"near", "far"}) {
+		t.Errorf("all servers with limits: %v", got)
+	}
+}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 // limitTable is a control member's copy of the limits that backend servers name. The
 // leader's allocates permits; the other members copy what the leader knows.
 type limitTable struct {
-	// source identifies this member's process in stamps.
+	// source identifies this member's process in stamps, together with the term.
 	source string
 	// notify wakes the watches that wait for a change.
 	notify func()
@@ -82,7 +83,7 @@
 // publishLocked publishes what the allocator knows. The caller holds l.mu.
 func (l *limitTable) publishLocked() {
 	l.known = l.allocator.Known()
-	l.stamp = Stamp{Source: l.source, Number: l.stamp.Number + 1}
+	l.stamp = Stamp{Source: fmt.Sprint(l.source, "/", l.term), Number: l.stamp.Number + 1}
 	l.notify()
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -186,7 +186,7 @@
 	}
 	l.mu.Lock()
 	now := fleet.SinceBoot()
-	decision := l.gate.Take(now, id)
+	decision := l.gate.Take(now, id, urgent)
 	known, _ := l.gate.Known(id)
 	request := l.gate.Request(now, id, urgent)
 	l.mu.Unlock()
@@ -228,8 +228,8 @@
 	}
 }
 
-// resumePermitInterval is the delay between two checks for a permit.
-const resumePermitInterval = 20 * time.Millisecond
+// resumePermitInterval is the delay between two requests for such a permit.
+const resumePermitInterval = 100 * time.Millisecond
 
 // refusal returns when a caller should return that was refused because the limits of
 // these servers are used up, and the log fields that describe the limits.
