Do not take a reply without a decision for a permit

While no leader was known, after all control members were killed and during each election, a member answered a request for permits with an empty reply: no error, no leader to ask instead, nothing known. The entry took 'nothing known' for 'no limit' and sent every request.

A reply now says that a leader decided, anything else is an error, and a reply that knows nothing grants nothing. TestNoPermitsWithoutALeader failed before. TestServerLimitHoldsWhenProcessesFail also kills all members and had passed, because its checks excuse or end around that time.

--- a/core/serverlimit/gate.go
+++ b/core/serverlimit/gate.go
@@ -137,7 +137,7 @@
 		g.Observe(server, r.Known.At(askedAt))
 	}
 	s := g.servers[server]
-	if s == nil || r.Known == nil || !r.Known.Limited {
+	if s == nil || r.Known != nil && !r.Known.Limited {
 		return true
 	}
 	s.askers = max(1, r.Askers)
--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// Guards against a request that is sent because a reply says nothing about the limit.
+func TestReplyWithoutKnowledgeGrantsNothing(t *testing.T) {
+	g := NewGate()
+	g.Observe("s", limited(2, 0, 0))
+	if g.Replied(at, at, "s", Reply{}) {
+		t.Error("the request may be sent")
+	}
+}
+
 // Guards against permits that outlive an entry that was suspended after it got them.
 func TestPermitsEnd(t *testing.T) {
 	g := NewGate()
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -15,6 +15,9 @@
 const (
 	// permitTimeout limits one request for permits. A caller's request waits for it.
 	permitTimeout = 100 * time.Millisecond
+	// maxLeaderHops bounds the members that are asked for one permit, when the known leader
+	// has been replaced.
+	maxLeaderHops = 2
 	// limitReportInterval is the delay before a report that was not delivered is
 	// repeated, maxLimitReports the number of tries.
 	limitReportInterval = 500 * time.Millisecond
@@ -141,8 +144,7 @@
 	now := SinceBoot()
 	c.limits.lead(now, status.Term)
 	c.metrics.permitRequests.Add(1)
-	leads := false
-	if reply.Reply, leads = c.limits.acquire(now, request.Request); !leads {
+	if reply.Reply, reply.Decided = c.limits.acquire(now, request.Request); !reply.Decided {
 		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "this member does not lead any more"))
 	}
 	c.metrics.permits.Add(int64(reply.Reply.Permits))
@@ -154,20 +156,15 @@
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	leader := w.View().Leader
-	for {
-		if leader == "" {
-			return serverlimit.Reply{}, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
-		}
+	for hop := 0; hop < maxLeaderHops && leader != ""; hop++ {
 		var reply PermitReply
 		err := w.options.Pool.Call(ctx, leader, ServiceName+".AcquirePermits", &PermitRequest{Request: r}, &reply)
-		if err != nil || reply.Leader == "" {
+		if err != nil || reply.Decided {
 			return reply.Reply, err
 		}
-		if reply.Leader == leader {
-			return serverlimit.Reply{}, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
-		}
 		leader = reply.Leader
 	}
+	return serverlimit.Reply{}, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
 }
 
 // ReportLimit tells the leader in the background what an entry learned about the limit
--- a/fleet/limits_test.go
+++ b/fleet/limits_test.go
@@ -52,6 +52,37 @@
 	eventually(t, "both daemons know the end", func() bool { return !limited(one) && !limited(other) })
 }
 
+// Guards against a permit that a member without a leader seems to grant, as while a new
+// one is elected.
+func TestNoPermitsWithoutALeader(t *testing.T) {
+	g := newTestGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	w := g.startWatcher(t)
+	g.members[g.seeds[0]].put(t, document(1, "one"))
+	leader := ""
+	eventually(t, "the daemon knows the leader", func() bool { leader = w.View().Leader; return leader != "" })
+	var remaining string
+	for _, address := range g.seeds {
+		if address != leader {
+			remaining = address
+		}
+	}
+	for _, address := range g.seeds {
+		if address != remaining {
+			g.kill(address)
+		}
+	}
+	noLeader := func() bool { known, _ := g.members[remaining].node.Load().Leader(); return known == "" }
+	eventually(t, "the remaining member has no leader", noLeader)
+	w.SetLeader(remaining)
+	request := serverlimit.Request{Entry: "e", Server: "i-1", Known: limitOf(2), Want: 1}
+	if reply, err := w.AcquirePermits(context.Background(), request); err == nil {
+		t.Errorf("replied %+v", reply)
+	}
+}
+
 // Guards against two leaders that grant permits at the same time: a new one waits until
 // the permission of the previous one has ended, also if it led before.
 func TestNewLeaderWaitsBeforeItGrants(t *testing.T) {
@@ -101,7 +132,7 @@
 type permitService struct{ table *limitTable }
 
 func (s *permitService) AcquirePermits(request *PermitRequest, reply *PermitReply) error {
-	reply.Reply, _ = s.table.acquire(SinceBoot(), request.Request)
+	reply.Reply, reply.Decided = s.table.acquire(SinceBoot(), request.Request)
 	return nil
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -124,10 +124,12 @@
 // PermitRequest asks the leader for permits.
 type PermitRequest struct{ Request serverlimit.Request }
 
-// PermitReply holds the reply, or the leader if the request was sent to another member.
+// PermitReply holds the reply if Decided is set. Else the request was sent to another
+// member than the leader, and Leader is the leader if the member knows one.
 type PermitReply struct {
-	Reply  serverlimit.Reply
-	Leader string
+	Decided bool
+	Reply   serverlimit.Reply
+	Leader  string
 }
 
 // ReportReply holds the leader if the report was sent to another member.
