Remove two dependences on timing from tests of the gateway

With the race detector, the first request of TestStopAnswersRequestsThatJustArrived arrived before the drain had begun and was answered on a connection that stays open; the test now waits for the begin. TestStateChangesDuringAdmission replaced the fleet of a running gateway, a data race of the test itself; the fake fleet now changes under its own lock.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -44,6 +44,9 @@
 		h.gateway.Drain(ctx, 0, h.listen)
 		close(drained)
 	}()
+	for !h.gateway.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
 	var group sync.WaitGroup
 	for i, conn := range conns {
 		group.Add(1)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,6 +29,8 @@
 	view      *fleet.View
 	age       time.Duration
 	confirmed bool
+	// beforeAge is called before the age is returned. It may be nil.
+	beforeAge func()
 	listeners []func(*fleet.View)
 }
 
@@ -41,6 +43,9 @@
 func (f *testFleet) ConfirmedAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.beforeAge != nil {
+		f.beforeAge()
+	}
 	return f.age, f.confirmed
 }
 func (f *testFleet) set(change func(*testFleet)) {
@@ -488,34 +493,16 @@
 	}
 }
 
-// changingFleet is a Fleet whose state changes, and is confirmed, just before the first
-// call of ConfirmedAge.
-type changingFleet struct {
-	*testFleet
-	old     *fleet.View
-	changed atomic.Bool
-}
-
-func (f *changingFleet) View() *fleet.View {
-	if !f.changed.Load() {
-		return f.old
-	}
-	return f.testFleet.View()
-}
-
-func (f *changingFleet) ConfirmedAge() (time.Duration, bool) {
-	f.changed.Store(true)
-	return 0, true
-}
-
 // Guards against an old state that is taken for a confirmed one because a newer state
 // and its confirmation arrive while the request is admitted.
 func TestStateChangesDuringAdmission(t *testing.T) {
 	h := newHarness(t, nil, newTestServer(t, echo))
-	state := *h.fleet.View().Table.State
-	state.Routes = nil
-	h.gateway.options.Fleet = &changingFleet{testFleet: h.fleet,
-		old: &fleet.View{Table: desired.NewTable(&state), Version: 0}}
+	h.fleet.set(func(f *testFleet) {
+		newer, state := f.view, *f.view.Table.State
+		state.Routes = nil
+		f.view = &fleet.View{Table: desired.NewTable(&state), Servers: newer.Servers}
+		f.beforeAge = func() { f.view = newer }
+	})
 	if status, _, body, err := h.call("/once/x"); err != nil || status != 200 {
 		t.Errorf("%d %q %v", status, body, err)
 	}
