Make TestFramesOutOfOrder independent of timing

The known red case 'failed end before the last token': the retry on the second subscription could arrive before the first token was sent to the caller, and the entry then rightly begins another attempt, for which the script has no frames. The script now answers the second subscription only after the caller has read the first token, which is what the case is about; text and code are checked as before.

--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -207,8 +207,9 @@
 }
 
 // scriptedLink serves a token link that answers the n-th subscription with the n-th
-// list of frames, and an Agent service that accepts all starts.
-func scriptedLink(t *testing.T, tc *testCluster, script [][]message.Frame) {
+// list of frames, and an Agent service that accepts all starts. From the second
+// subscription on, it waits for proceed before it answers.
+func scriptedLink(t *testing.T, tc *testCluster, script [][]message.Frame, proceed <-chan struct{}) {
 	links, calls := listen(t), listen(t)
 	server := wire.NewServer(calls)
 	_ = server.Register("Agent", &scriptedAgent{
@@ -227,7 +228,7 @@
 		}
 		defer conn.Close()
 		in, out := wire.NewFrameReader(conn, time.Minute), wire.NewFrameWriter(conn, time.Minute)
-		for {
+		for first := true; ; {
 			frame, err := in.Read()
 			if err != nil {
 				return
@@ -235,6 +236,10 @@
 			if frame.Subscribe == nil || len(script) == 0 {
 				continue
 			}
+			if !first {
+				<-proceed
+			}
+			first = false
 			for _, f := range script[0] {
 				if f.Tokens != nil && f.Tokens.Execution.Request == "" {
 					copied := *f.Tokens
@@ -280,42 +285,54 @@
 		script [][]message.Frame
 		want   string
 		code   string
+		// tokenFirst is set if the first token has to reach the caller before the
+		// second subscription is answered.
+		tokenFirst bool
 	}{
 		{"repeated", [][]message.Frame{
 			{tokensFrame(0, "ab"), tokensFrame(0, "ab"), tokensFrame(1, "bc"), lastEnd},
-		}, "abc", ""},
+		}, "abc", "", false},
 		{"missing", [][]message.Frame{
 			{tokensFrame(0, "a"), tokensFrame(2, "c")},
 			{tokensFrame(1, "bc"), lastEnd},
-		}, "abc", ""},
+		}, "abc", "", false},
 		{"reordered", [][]message.Frame{
 			{tokensFrame(1, "b"), tokensFrame(0, "a")},
 			{tokensFrame(0, "abc"), lastEnd},
-		}, "abc", ""},
+		}, "abc", "", false},
 		{"of another execution", [][]message.Frame{
 			{otherExecution, tokensFrame(0, "a"), otherExecution, tokensFrame(1, "bc"), lastEnd},
-		}, "abc", ""},
+		}, "abc", "", false},
 		{"end before the last token", [][]message.Frame{
 			{tokensFrame(0, "a"), lastEnd},
 			{tokensFrame(1, "bc"), lastEnd},
-		}, "abc", ""},
+		}, "abc", "", false},
 		{"failed end before the last token", [][]message.Frame{
 			{tokensFrame(0, "a"), endFrame(3, "", verdict.Ran)},
 			{tokensFrame(1, "bc"), endFrame(3, "", verdict.Ran)},
-		}, "abc", "backend_server_crashed"},
+		}, "abc", "backend_server_crashed", true},
 		{"failed before a token was delivered", [][]message.Frame{
 			{endFrame(0, "", verdict.MayHaveRun)},
 			{tokensFrame(0, "abc"), lastEnd},
-		}, "abc", ""},
+		}, "abc", "", false},
 	}
 	for _, c := range cases {
 		t.Run(c.fault, func(t *testing.T) {
 			t.Parallel()
 			tc := &testCluster{t: t, fleet: &fakeFleet{host: "h1"}}
 			tc.fleet.config, _ = contract.Build(1, clusterSections(unreachableAddresses(2), "127.0.0.1:9"))
-			scriptedLink(t, tc, c.script)
+			proceed := make(chan struct{})
+			scriptedLink(t, tc, c.script, proceed)
 			tc.addEntry(entry.Options{})
-			r := tc.stream(0, "x").read(0)
+			var r *eventReader
+			if c.tokenFirst {
+				r = tc.stream(0, "x").read(1)
+				close(proceed)
+			} else {
+				close(proceed)
+				r = tc.stream(0, "x")
+			}
+			r.read(0)
 			if got := strings.Join(r.tokens, ""); got != c.want || r.code != c.code {
 				t.Errorf("got %q, code %q; want %q, code %q", got, r.code, c.want, c.code)
 			}
