Do not crash when a limited server leaves the list while a permit is asked

Found by reading the change again: the reply to a request for permits put a server back into the gate that an update of the list had removed from the limiter's records, and the next request crashed the entry with a nil pointer. TestServerLeavesWhileAPermitIsAsked crashed before. What a reply says about a limit now goes through the same merge as everything else, so a change learned that way is also logged and counted: TestLimitLearnedWithAPermit failed before.

--- a/core/serverlimit/gate.go
+++ b/core/serverlimit/gate.go
@@ -130,12 +130,9 @@
 }
 
 // Replied applies the reply to a request for permits that was made at askedAt. It
-// reports whether the request that needed one may be sent.
+// reports whether the request that needed one may be sent. What the reply knows about
+// the limit is observed before.
 func (g *Gate) Replied(askedAt, now time.Duration, server string, r Reply) bool {
-	if r.Known != nil {
-		// The age is as of when the reply was made, which was after askedAt.
-		g.Observe(server, r.Known.At(askedAt))
-	}
 	s := g.servers[server]
 	if s == nil || r.Known != nil && !r.Known.Limited {
 		return true
--- a/core/serverlimit/simulation_test.go
+++ b/core/serverlimit/simulation_test.go
@@ -175,7 +175,12 @@
 		s.asks++
 		reply, _ := allocator.Acquire(s.now, r)
 		s.publish()
-		s.after(s.delay(4), func() { then(e.gate.Replied(asked, s.now, server.name, reply)) })
+		s.after(s.delay(4), func() {
+			if reply.Known != nil {
+				e.gate.Observe(server.name, reply.Known.At(asked))
+			}
+			then(e.gate.Replied(asked, s.now, server.name, reply))
+		})
 	})
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -4,13 +4,11 @@
 	"context"
 	"expvar"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/dispatch"
-	"arbutusmast.example/arbutusmast/core/placement"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
@@ -180,10 +178,11 @@
 
 // permit reports whether a request may be sent to a server, and whether the server
 // has a limit. It asks for permits if needed.
-func (l *limiter) permit(ctx context.Context, id string, urgent bool) (permitted, limited bool) {
+func (l *limiter) permit(ctx context.Context, server backend.Server, urgent bool) (permitted, limited bool) {
 	if l.source == nil {
 		return true, false
 	}
+	id := server.ID
 	l.mu.Lock()
 	now := fleet.SinceBoot()
 	decision := l.gate.Take(now, id, urgent)
@@ -205,6 +204,10 @@
 		}
 		return false, true
 	}
+	if reply.Known != nil {
+		// The age is as of when the reply was made, which was after the request.
+		l.merge(id, server.Service, reply.Known.At(now), fromControl)
+	}
 	permitted = l.gate.Replied(now, fleet.SinceBoot(), id, reply)
 	known, _ = l.gate.Known(id)
 	return permitted, known.Limited
@@ -216,9 +219,9 @@
 
 // permitResume waits until a generation may continue at a server, and returns false
 // if it may not in time.
-func (l *limiter) permitResume(ctx context.Context, id string) bool {
+func (l *limiter) permitResume(ctx context.Context, server backend.Server) bool {
 	for start := time.Now(); ; {
-		if permitted, _ := l.permit(ctx, id, true); permitted {
+		if permitted, _ := l.permit(ctx, server, true); permitted {
 			return true
 		}
 		if ctx.Err() != nil || time.Since(start) > resumePermitTimeout {
@@ -250,32 +253,3 @@
 	return l.gate.RetryAfter(now, service, ids, jitter), []zap.Field{zap.Strings("limited_servers", ids),
 		zap.Float64s("limit_per_second", rates), zap.Float64s("limit_age_seconds", ages), zap.Strings("limit_source", sources)}
 }
-
-// chooseServer returns a server that may get the request now, and whether it has a
-// limit. It returns false if there is none, and then x.limitedServers are the servers
-// whose limits are used up.
-func (x *exchange) chooseServer(ctx context.Context, query placement.Query) (server backend.Server, limited, ok bool) {
-	query.Exclude = slices.Clone(query.Exclude)
-	x.limitedServers = nil
-	exclude := func(ids ...string) {
-		for _, id := range ids {
-			if !slices.Contains(x.limitedServers, id) && !slices.Contains(x.tried, id) {
-				x.limitedServers = append(x.limitedServers, id)
-			}
-		}
-		query.Exclude = append(query.Exclude, ids...)
-	}
-	for {
-		exclude(x.g.limits.waiting(x.service)...)
-		server, ok = x.g.services.choose(x.g.elapsed(), x.service, query)
-		if !ok {
-			return server, false, false
-		}
-		permitted, limited := x.g.limits.permit(ctx, server.ID, false)
-		if permitted {
-			return server, limited, true
-		}
-		x.reportResult(server.ID, placement.Refused)
-		exclude(server.ID)
-	}
-}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/fleet"
 	"github.com/pkg/errors"
@@ -22,6 +24,9 @@
 	err      error
 	asked    int
 	reported []serverlimit.Observation
+	// onAsk is called before a request for permits is answered and may change the reply.
+	// It may be nil.
+	onAsk func(serverlimit.Request, *serverlimit.Reply)
 }
 
 func (p *testPermits) AcquirePermits(_ context.Context, r serverlimit.Request) (serverlimit.Reply, error) {
@@ -36,6 +41,9 @@
 		p.left--
 		reply.Permits = 1
 	}
+	if p.onAsk != nil {
+		p.onAsk(r, &reply)
+	}
 	return reply, nil
 }
 
@@ -179,3 +187,48 @@
 		t.Errorf("%d and %d requests arrived", a, b)
 	}
 }
+
+// Guards against a change of a limit that an entry learns with a denied permit and does
+// not log.
+func TestLimitLearnedWithAPermit(t *testing.T) {
+	permits := &testPermits{}
+	h, servers, logs := newLimitHarness(t, permits, func() string { return "5" }, 1)
+	if status, _, body, err := h.call("/once/x"); err != nil || status != 200 {
+		t.Fatal(status, body, err)
+	}
+	permits.onAsk = func(_ serverlimit.Request, r *serverlimit.Reply) {
+		r.Known = &serverlimit.Age{Limited: true, PerSecond: 3, SentAgo: -time.Second, ReceivedAgo: -time.Second}
+	}
+	if status, _, body, err := h.call("/once/x"); err != nil || status != 503 {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	if n := servers[0].count.Load(); n != 1 || logs.FilterMessage("limit of a backend server changed").Len() != 1 {
+		t.Errorf("%d requests arrived, %v", n, logs.All())
+	}
+}
+
+// Guards against a crash when a server leaves the list while a permit for it is asked.
+func TestServerLeavesWhileAPermitIsAsked(t *testing.T) {
+	permits := &testPermits{}
+	h, _, _ := newLimitHarness(t, permits, func() string { return "5" }, 2)
+	for range 4 {
+		if status, _, body, err := h.call("/once/x"); err != nil || status != 200 && status != 503 {
+			t.Fatal(status, body, err)
+		}
+	}
+	permits.mu.Lock()
+	permits.onAsk = func(r serverlimit.Request, _ *serverlimit.Reply) {
+		h.fleet.set(func(f *testFleet) {
+			view := *f.view
+			view.Servers = slices.DeleteFunc(slices.Clone(view.Servers), func(s backend.Server) bool { return s.ID == r.Server })
+			f.view = &view
+		})
+	}
+	permits.mu.Unlock()
+	time.Sleep(250 * time.Millisecond)
+	for range 3 {
+		if status, _, body, err := h.call("/once/x"); err != nil || status != 503 {
+			t.Errorf("%d %q %v", status, body, err)
+		}
+	}
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -107,7 +107,7 @@
 // meanwhile that is used up.
 func (x *exchange) placeUnreserved(ctx context.Context, first backend.Server, query placement.Query) (
 	backend.Server, string, bool) {
-	if permitted, _ := x.g.limits.permit(ctx, first.ID, false); permitted {
+	if permitted, _ := x.g.limits.permit(ctx, first, false); permitted {
 		return first, "", true
 	}
 	x.reportResult(first.ID, placement.Refused)
@@ -116,6 +116,35 @@
 	return server, "", ok
 }
 
+// chooseServer returns a server that may get the request now, and whether it has a
+// limit. It returns false if there is none, and then x.limitedServers are the servers
+// whose limits are used up.
+func (x *exchange) chooseServer(ctx context.Context, query placement.Query) (server backend.Server, limited, ok bool) {
+	query.Exclude = slices.Clone(query.Exclude)
+	x.limitedServers = nil
+	exclude := func(ids ...string) {
+		for _, id := range ids {
+			if !slices.Contains(x.limitedServers, id) && !slices.Contains(x.tried, id) {
+				x.limitedServers = append(x.limitedServers, id)
+			}
+		}
+		query.Exclude = append(query.Exclude, ids...)
+	}
+	for {
+		exclude(x.g.limits.waiting(x.service)...)
+		server, ok = x.g.services.choose(x.g.elapsed(), x.service, query)
+		if !ok {
+			return server, false, false
+		}
+		permitted, limited := x.g.limits.permit(ctx, server, false)
+		if permitted {
+			return server, limited, true
+		}
+		x.reportResult(server.ID, placement.Refused)
+		exclude(server.ID)
+	}
+}
+
 // needsReservation reports whether memory is reserved for the request.
 func (x *exchange) needsReservation() bool {
 	if x.g.options.Reserver == nil || x.route.Kind != desired.Stream || x.metadata.PromptTokens == 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -203,7 +203,7 @@
 	if !ok {
 		return nil, errors.Errorf("no server is known at %s", address)
 	}
-	if !x.g.limits.permitResume(ctx, server.ID) {
+	if !x.g.limits.permitResume(ctx, server) {
 		return nil, errors.New("the limit of the server with the copy is used up")
 	}
 	f := x.forwardMetadata(server)
