Limit the head of a backend server's response in INI deployments

A head without an end was read up to the default of net/http, 10 MiB for each request. TestHeadWithoutEnd: more than 4 MiB were taken before, less than 1 MiB now (the limit is 64 KiB, the rest is in the sockets' buffers). All bodies that are read at the same time are still not bounded together there, docs/invariants.md says so.

--- a/engine/client.go
+++ b/engine/client.go
@@ -19,6 +19,7 @@
 // Timeouts and size limits of requests to a backend server.
 const (
 	dialTimeout          = 2 * time.Second
+	maxHeadBytes         = 64 << 10
 	maxEventBytes        = 256 << 10
 	maxForwardBodyBytes  = 8 << 20
 	maxControlReplyBytes = 1 << 20
@@ -56,8 +57,9 @@
 			}
 			return conn, nil
 		},
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -85,3 +85,37 @@
 		})
 	}
 }
+
+// Guards against a response head without an end that is read into memory.
+func TestHeadWithoutEnd(t *testing.T) {
+	const allowed = 1 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	taken := make(chan int, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		total := 0
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for err == nil && total < 4*allowed {
+			var n int
+			n, err = io.WriteString(conn, "X-Garbage: garbage\r\n")
+			total += n
+		}
+		taken <- total
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, err := NewClient(l.Addr().String()).Load(ctx); err == nil {
+		t.Error("a head without an end was accepted")
+	}
+	if n := <-taken; n > allowed {
+		t.Errorf("%d bytes of a head were taken, more than %d", n, allowed)
+	}
+}
