Hold back parts of prompts that crash backend servers

What callers saw: requests of one kind crashed servers one after another, with all that ran there.

Cause: the table of crashes identified a request as a whole, by method, host, path, caller and body. Class: blame is laid on the whole of a request, while only a part of it recurs.

Change: core/quarantine.Parts suspects every shared part of a request whose answer had not begun when its server crashed, clears a part when an answer begins on it, and holds back the part that successive crashes leave as the most likely cause. The control leader decides for all entries; each entry also decides by what it saw, tells a new group what that forgot, and checks before each send. Requests with the same suspects go to one server. A crash counts only for requests that were sent after the last one that counted, and known-sound parts need more crashes, so that other causes blame nobody for good.

Conclusion: fixed where requests name their parts.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -103,6 +103,9 @@
 	Blocks int
 	// Exclude lists the servers that were already tried.
 	Exclude []string
+	// IsolationKey is set for requests that may crash their server. Those with equal keys
+	// go to the same server, whatever its load.
+	IsolationKey string
 }
 
 // Result is the result of a placed request.
@@ -179,6 +182,9 @@
 // subset can take it now. The memory of the request counts as used until a newer
 // load hint includes it or its refusal or failure is reported.
 func (b *Balancer) Choose(now time.Duration, q Query) (string, bool) {
+	if q.IsolationKey != "" {
+		return b.chooseIsolated(now, q)
+	}
 	var best *server
 	var score float64
 	for distance, tier := range b.tiers {
@@ -202,9 +208,30 @@
 		b.score(now, s, q) <= score+b.cfg.AffinityMargin {
 		best = s
 	}
-	best.pending.add(now, max(1, q.Blocks))
-	best.health.startProbe(now)
-	return best.Name, true
+	return best.place(now, q), true
+}
+
+// chooseIsolated returns the server for requests with an isolation key: the first usable
+// one of a rendezvous hash ranking, which is the same for all entries.
+func (b *Balancer) chooseIsolated(now time.Duration, q Query) (string, bool) {
+	key := hash64(q.IsolationKey)
+	var best *server
+	for _, s := range b.subset {
+		if b.usable(now, s, q) && (best == nil || mix(key^s.hash) > mix(key^best.hash)) {
+			best = s
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.place(now, q), true
+}
+
+// place records a request that was placed on the server and returns its name.
+func (s *server) place(now time.Duration, q Query) string {
+	s.pending.add(now, max(1, q.Blocks))
+	s.health.startProbe(now)
+	return s.Name
 }
 
 // sample returns the best of a few random servers.
--- /dev/null
+++ b/core/quarantine/parts.go
@@ -0,0 +1,404 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Thresholds, durations and limits of Parts.
+const (
+	// partCrashes is the number of successive crashes that holds back a part on which no
+	// answer was ever seen to begin, and soundPartCrashes that of other parts. One more is
+	// needed while another part was under way at the same crashes.
+	partCrashes      = 2
+	soundPartCrashes = 4
+	// partSuspectTTL is how long a part remains suspected after its last crash.
+	partSuspectTTL = 10 * time.Minute
+	// clearedTTL is how long a cleared part is published. Other copies learn of it meanwhile.
+	clearedTTL = time.Minute
+	// firstHold is how long a part is held back the first time. The time doubles up to
+	// maxHold each time that it crashes a server afterwards.
+	firstHold = 10 * time.Minute
+	maxHold   = 24 * time.Hour
+	// MaxPartsPerCrash limits the parts of one request that a crash report names.
+	MaxPartsPerCrash = 64
+	maxParts         = 2048
+	// maxServersPerPart limits the crashed servers that are kept for a part.
+	maxServersPerPart = 64
+)
+
+// PartState is what is known of a part of prompts.
+type PartState uint8
+
+// States of a part.
+const (
+	// PartSuspected means that the part was under way at a crash.
+	PartSuspected PartState = iota + 1
+	// PartHeld means that requests with the part are refused.
+	PartHeld
+	// PartCleared means that the part is no longer suspected or held back.
+	PartCleared
+)
+
+// PartStatus describes one part of prompts. Times are of the clock of the table that
+// returned it; Relative and Absolute convert them to and from ages.
+type PartStatus struct {
+	ID    string
+	State PartState
+	// Crashes is the number of successive crashes at which the part was under way.
+	Crashes int
+	// Sound is set if an answer was seen to begin on the part before its first crash.
+	Sound bool
+	// Holds is how often the part was held back.
+	Holds int
+	// Servers are the instances of backend servers that crashed with the part under way.
+	Servers []string
+	// LastCrash is the time of the last crash, Until the end of the hold, and ClearedAt
+	// the time of the evidence that cleared the part.
+	LastCrash, Until, ClearedAt time.Duration
+}
+
+// Relative returns the status with its times relative to now.
+func (s PartStatus) Relative(now time.Duration) PartStatus {
+	s.LastCrash, s.Until, s.ClearedAt = s.LastCrash-now, s.Until-now, s.ClearedAt-now
+	return s
+}
+
+// Absolute reverses Relative.
+func (s PartStatus) Absolute(now time.Duration) PartStatus { return s.Relative(-now) }
+
+// PartCrash is a request whose answer had not begun when its server crashed. Any one of
+// its parts may be the cause.
+type PartCrash struct {
+	// Server is the instance of the server. After a restart it has another one.
+	Server string
+	Parts  []string
+	// Sound are those of Parts on which the reporter saw answers begin before.
+	Sound         []string
+	Sent, Crashed time.Duration
+}
+
+// part is the record of one part.
+type part struct {
+	PartStatus
+	// counted tells for each server in Servers whether its crash is in Crashes.
+	counted []bool
+	// lastCounted is the time of the last crash that is in Crashes.
+	lastCounted time.Duration
+	// changedAt is the time of the last change, by which records expire.
+	changedAt time.Duration
+}
+
+// Parts finds parts of prompts that crash backend servers, whatever else the requests
+// hold. A part is suspected if it was under way at a crash, before its answer began, and
+// cleared if an answer begins on it later. It is held back when successive crashes leave
+// it as the most likely cause. Parts is not safe for concurrent use.
+//
+// Every part of an affected request is suspected at first. A crash counts for a part only
+// if the request was sent after the last crash that counted, because servers of one
+// failure domain are lost together.
+type Parts struct {
+	records map[string]*part
+}
+
+// NewParts returns an empty table.
+func NewParts() *Parts { return &Parts{records: map[string]*part{}} }
+
+// RecordCrash records a request whose answer had not begun at a crash, and returns the
+// parts whose state changed.
+func (t *Parts) RecordCrash(now time.Duration, c PartCrash) (changed []PartStatus) {
+	changed = t.Expire(now)
+	if c.Server == "" || t.explains(c) {
+		return changed
+	}
+	var candidates []*part
+	for _, id := range c.Parts[:min(len(c.Parts), MaxPartsPerCrash)] {
+		p := t.records[id]
+		switch {
+		case p == nil || p.State == PartCleared && p.ClearedAt < c.Crashed:
+			sound := p != nil && p.Sound
+			p = t.add(now, id)
+			p.Sound = sound
+			changed = append(changed, p.PartStatus)
+		case p.State == PartCleared:
+			continue
+		}
+		p.Sound = p.Sound || slices.Contains(c.Sound, id)
+		p.count(now, c)
+		candidates = append(candidates, p)
+	}
+	var guilty []*part
+	for _, p := range candidates {
+		if p.State == PartSuspected && p.Crashes >= t.needed(p) {
+			guilty = append(guilty, p)
+		}
+	}
+	return append(changed, t.hold(now, guilty)...)
+}
+
+// explains reports whether a held part is the cause of a crash, which then raises no other
+// suspicion.
+func (t *Parts) explains(c PartCrash) bool {
+	for _, id := range c.Parts {
+		if p := t.records[id]; p != nil && p.State == PartHeld {
+			p.addServer(c.Server, false)
+			p.LastCrash = max(p.LastCrash, c.Crashed)
+			t.explain(c.Server, c.Crashed)
+			return true
+		}
+	}
+	for _, p := range t.records {
+		if p.State == PartHeld && slices.Contains(p.Servers, c.Server) {
+			return true
+		}
+	}
+	return false
+}
+
+// add returns a new record of a suspected part. If the table is full, it replaces the
+// suspect that changed least recently.
+func (t *Parts) add(now time.Duration, id string) *part {
+	if len(t.records) >= maxParts {
+		var oldest *part
+		for _, p := range t.records {
+			if p.State != PartHeld && (oldest == nil || p.changedAt < oldest.changedAt) {
+				oldest = p
+			}
+		}
+		if oldest != nil {
+			delete(t.records, oldest.ID)
+		}
+	}
+	p := &part{PartStatus: PartStatus{ID: id, State: PartSuspected}, changedAt: now, lastCounted: -maxHold}
+	t.records[id] = p
+	return p
+}
+
+// count counts a crash, unless the request was sent before the last one that counted.
+func (p *part) count(now time.Duration, c PartCrash) {
+	p.LastCrash, p.changedAt = max(p.LastCrash, c.Crashed), now
+	counts := c.Sent >= p.lastCounted
+	if i := slices.Index(p.Servers, c.Server); i >= 0 {
+		if p.counted[i] || !counts {
+			return
+		}
+		p.counted[i] = true
+	} else {
+		p.addServer(c.Server, counts)
+	}
+	if counts {
+		p.Crashes++
+		p.lastCounted = c.Crashed
+	}
+}
+
+func (p *part) addServer(server string, counted bool) {
+	if len(p.Servers) < maxServersPerPart && !slices.Contains(p.Servers, server) {
+		p.Servers, p.counted = append(slices.Clip(p.Servers), server), append(p.counted, counted)
+	}
+}
+
+// needed returns the number of crashes at which a suspect is held back.
+func (t *Parts) needed(p *part) int {
+	needed := partCrashes
+	if p.Sound {
+		needed = soundPartCrashes
+	}
+	for _, other := range t.records {
+		if other == p || other.State != PartSuspected || other.Crashes < p.Crashes || !other.coversCrashesOf(p) {
+			continue
+		}
+		switch {
+		case p.Sound && !other.Sound:
+			return p.Crashes + 1
+		case p.Sound == other.Sound:
+			needed++
+			return needed
+		}
+	}
+	return needed
+}
+
+// coversCrashesOf reports whether p was under way at all crashes that count for other.
+func (p *part) coversCrashesOf(other *part) bool {
+	for i, server := range other.Servers {
+		if other.counted[i] && !slices.Contains(p.Servers, server) {
+			return false
+		}
+	}
+	return true
+}
+
+// hold holds back suspects and clears those that were suspected for the same crashes only.
+func (t *Parts) hold(now time.Duration, guilty []*part) (held []PartStatus) {
+	for _, p := range guilty {
+		p.State, p.changedAt = PartHeld, now
+		p.Until = now + min(firstHold<<min(p.Holds, 10), maxHold)
+		p.Holds++
+		held = append(held, p.PartStatus)
+	}
+	for _, p := range guilty {
+		for _, server := range p.Servers {
+			t.explain(server, p.LastCrash)
+		}
+	}
+	return held
+}
+
+// explain removes a crash from all suspects. Those without another one are cleared.
+func (t *Parts) explain(server string, crashed time.Duration) {
+	for _, p := range t.records {
+		i := slices.Index(p.Servers, server)
+		if p.State != PartSuspected || i < 0 {
+			continue
+		}
+		if p.counted[i] {
+			p.Crashes--
+		}
+		p.Servers, p.counted = slices.Delete(slices.Clone(p.Servers), i, i+1), slices.Delete(p.counted, i, i+1)
+		if len(p.Servers) == 0 {
+			p.clear(max(p.LastCrash, crashed))
+		}
+	}
+}
+
+func (p *part) clear(at time.Duration) {
+	p.State, p.Crashes, p.ClearedAt, p.changedAt = PartCleared, 0, at, max(p.changedAt, at)
+}
+
+// RecordBegun records that an answer began on a part, and returns its status if it is no
+// longer suspected or held back. A part that is held back needs a request that was sent
+// after the last crash.
+func (t *Parts) RecordBegun(now time.Duration, id string, sent, begun time.Duration) (cleared []PartStatus) {
+	cleared = t.Expire(now)
+	p := t.records[id]
+	if p == nil || p.State == PartCleared {
+		return cleared
+	}
+	if p.State == PartSuspected && begun > p.LastCrash || p.State == PartHeld && sent > p.LastCrash {
+		p.clear(begun)
+		p.Sound = true
+		return append(cleared, p.PartStatus)
+	}
+	p.Sound = p.Sound || p.State == PartSuspected
+	return cleared
+}
+
+// Release clears a part on behalf of an operator. It returns false if the part is neither
+// suspected nor held back.
+func (t *Parts) Release(now time.Duration, id string) (PartStatus, bool) {
+	t.Expire(now)
+	p := t.records[id]
+	if p == nil || p.State == PartCleared {
+		return PartStatus{}, false
+	}
+	p.clear(now)
+	p.Holds = 0
+	return p.PartStatus, true
+}
+
+// Expire forgets old suspicions and ends holds, and returns the parts whose holds ended. The
+// first crash after a hold holds the part back again.
+func (t *Parts) Expire(now time.Duration) (ended []PartStatus) {
+	for id, p := range t.records {
+		switch {
+		case p.State == PartHeld && now >= p.Until:
+			p.State, p.changedAt, p.Crashes = PartSuspected, now, partCrashes-1
+			p.Servers, p.counted, p.Sound = nil, nil, false
+			ended = append(ended, p.PartStatus)
+		case p.State == PartSuspected && now-p.changedAt > partSuspectTTL, p.State == PartCleared && now-p.changedAt > clearedTTL:
+			delete(t.records, id)
+		}
+	}
+	return ended
+}
+
+// Held returns the first of the parts that is held back.
+func (t *Parts) Held(now time.Duration, ids []string) (PartStatus, bool) {
+	if len(t.records) == 0 {
+		return PartStatus{}, false
+	}
+	for _, id := range ids {
+		if p := t.records[id]; p != nil && p.State == PartHeld && now < p.Until {
+			return p.PartStatus, true
+		}
+	}
+	return PartStatus{}, false
+}
+
+// IsolationKey returns a key that is equal for requests with the same suspected parts, and
+// empty for others. Requests with equal keys go to one server, so that a crash costs one
+// server only and other suspects show on other servers whether they are sound.
+func (t *Parts) IsolationKey(ids []string) string {
+	var suspects []string
+	for _, id := range ids {
+		p := t.records[id]
+		if p != nil && p.State == PartSuspected && (!p.Sound || p.Crashes >= partCrashes) {
+			suspects = append(suspects, id)
+		}
+	}
+	slices.Sort(suspects)
+	return strings.Join(slices.Compact(suspects), ",")
+}
+
+// Status returns the status of a part, false if nothing is known of it.
+func (t *Parts) Status(id string) (PartStatus, bool) {
+	if p := t.records[id]; p != nil {
+		return p.PartStatus, true
+	}
+	return PartStatus{}, false
+}
+
+// Statuses returns at most limit parts: those held back, then suspects, then cleared
+// ones, each group by its last change, newest first.
+func (t *Parts) Statuses(now time.Duration, limit int) []PartStatus {
+	t.Expire(now)
+	rank := map[PartState]int{PartHeld: 0, PartSuspected: 1, PartCleared: 2}
+	all := make([]*part, 0, len(t.records))
+	for _, p := range t.records {
+		all = append(all, p)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		return cmp.Or(cmp.Compare(rank[a.State], rank[b.State]), cmp.Compare(b.changedAt, a.changedAt),
+			strings.Compare(a.ID, b.ID)) < 0
+	})
+	statuses := make([]PartStatus, 0, min(limit, len(all)))
+	for _, p := range all[:min(limit, len(all))] {
+		statuses = append(statuses, p.PartStatus)
+	}
+	return statuses
+}
+
+// Merge adds what another table knows of a part and reports whether the state changed.
+// Evidence that is later than the last crash outweighs a suspicion or a hold.
+func (t *Parts) Merge(now time.Duration, s PartStatus) bool {
+	p := t.records[s.ID]
+	switch {
+	case s.State == PartCleared:
+		if p == nil || p.State == PartCleared || p.LastCrash > s.ClearedAt {
+			return false
+		}
+		p.clear(s.ClearedAt)
+		return true
+	case p != nil && p.State == PartCleared && p.ClearedAt >= s.LastCrash, s.State == PartHeld && s.Until <= now:
+		return false
+	case p == nil || p.State == PartCleared:
+		p = t.add(now, s.ID)
+	}
+	before := p.State
+	p.Sound, p.Holds = p.Sound || s.Sound, max(p.Holds, s.Holds)
+	for _, server := range s.Servers {
+		p.addServer(server, true)
+	}
+	p.Crashes = max(p.Crashes, s.Crashes)
+	p.LastCrash, p.lastCounted = max(p.LastCrash, s.LastCrash), max(p.lastCounted, s.LastCrash)
+	if s.State == PartHeld {
+		p.State, p.Until = PartHeld, max(p.Until, s.Until)
+	}
+	p.changedAt = max(p.changedAt, p.LastCrash)
+	return p.State != before || s.State == PartHeld && before != PartHeld
+}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -77,6 +77,7 @@
 	stateMachine *stateMachine
 	servers      *serverList
 	limits       *limitTable
+	parts        *partTable
 	watcher      *Watcher
 	node         atomic.Pointer[control.Node]
 	// confirmed is the time since boot at which the last successful confirmation by
@@ -138,6 +139,7 @@
 	c := &Control{options: options, servers: newServerList(options.Address + "/" + newNonce()),
 		nonces: map[string]consensus.MemberID{}}
 	c.limits = &limitTable{source: c.servers.source, notify: c.servers.notify}
+	c.parts = &partTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.metrics = newControlMetrics(options.Metrics, c)
 	c.stateMachine = &stateMachine{onChange: c.servers.notify}
 	member := options.Address
@@ -247,8 +249,8 @@
 }
 
 // copyLeaderList copies the list that the watcher received from the leader, with the
-// time at which it was read, and the limits of backend servers, unless this member
-// leads.
+// time at which it was read, the limits of backend servers and the parts of prompts that
+// may crash them, unless this member leads.
 func (c *Control) copyLeaderList() {
 	if c.leads() {
 		return
@@ -257,6 +259,7 @@
 		c.servers.copyFrom(c.watcher.View(), time.Duration(at))
 	}
 	c.limits.copyFrom(c.watcher.View())
+	c.parts.copyFrom(c.watcher.View())
 }
 
 // runLeaderPoll sets the leader that the watcher watches. It also copies the read time
@@ -270,6 +273,7 @@
 		c.copyLeaderList()
 		if status := c.node.Load().Status(); status.Role == consensus.Leader {
 			c.limits.lead(SinceBoot(), status.Term)
+			c.parts.lead(SinceBoot())
 		}
 	})
 }
--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -29,12 +29,7 @@
 			if leader == "" {
 				continue
 			}
-			adjusted := &CrashRequest{Cleared: r.Cleared}
-			for _, c := range r.Crashes {
-				c.SentAgo += SinceBoot() - start
-				c.CrashedAgo += SinceBoot() - start
-				adjusted.Crashes = append(adjusted.Crashes, c)
-			}
+			adjusted := r.aged(SinceBoot() - start)
 			ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 			var reply ReportReply
 			err := w.options.Pool.Call(ctx, leader, ServiceName+".Crashed", adjusted, &reply)
@@ -47,3 +42,24 @@
 		}
 	}()
 }
+
+// aged returns a copy of the request whose ages have grown by delay.
+func (r *CrashRequest) aged(delay time.Duration) *CrashRequest {
+	aged := &CrashRequest{Cleared: r.Cleared}
+	for _, c := range r.Crashes {
+		c.SentAgo, c.CrashedAgo = c.SentAgo+delay, c.CrashedAgo+delay
+		aged.Crashes = append(aged.Crashes, c)
+	}
+	for _, c := range r.PartCrashes {
+		c.Sent, c.Crashed = c.Sent+delay, c.Crashed+delay
+		aged.PartCrashes = append(aged.PartCrashes, c)
+	}
+	for _, b := range r.PartsBegun {
+		b.SentAgo, b.BegunAgo = b.SentAgo+delay, b.BegunAgo+delay
+		aged.PartsBegun = append(aged.PartsBegun, b)
+	}
+	for _, s := range r.HeldParts {
+		aged.HeldParts = append(aged.HeldParts, s.Relative(delay))
+	}
+	return aged
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -6,6 +6,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/consensus"
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/roster"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 )
@@ -33,6 +34,10 @@
 	// backend servers.
 	WantsLimits bool
 	Limits      Stamp
+	// WantsParts is set by daemons that know Parts, the stamp of the parts of prompts that
+	// may crash backend servers.
+	WantsParts bool
+	Parts      Stamp
 }
 
 // WatchReply holds the newer data. Ages are as of the time at which the reply was made,
@@ -60,6 +65,11 @@
 	HasLimits   bool
 	LimitsStamp Stamp
 	Limits      map[string]serverlimit.Age
+	// Parts are what is known of parts of prompts, with times relative to the reply. They
+	// are set together with HasParts if PartsStamp differs from that of the request.
+	HasParts   bool
+	PartsStamp Stamp
+	Parts      []quarantine.PartStatus
 	// Members and Leader are peer addresses of the control group.
 	Members []string
 	Leader  string
@@ -109,6 +119,18 @@
 type CrashRequest struct {
 	Crashes []Crash
 	Cleared []string
+	// PartCrashes and PartsBegun hold ages instead of times.
+	PartCrashes []quarantine.PartCrash
+	PartsBegun  []PartBegun
+	// HeldParts are parts that the sender holds back and the leader does not know, with
+	// times relative to the request.
+	HeldParts []quarantine.PartStatus
+}
+
+// PartBegun reports that an answer began on a part of a prompt.
+type PartBegun struct {
+	Part              string
+	SentAgo, BegunAgo time.Duration
 }
 
 // Crash identifies one request, by its digest, that was in flight when an instance of a
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -191,7 +191,8 @@
 		changed := c.servers.changed()
 		version, document := c.stateMachine.current()
 		if c.servers.hasNewer(request.List, request.Lazy) ||
-			request.WantsLimits && !request.Lazy && c.limits.hasNewer(request.Limits) || document != nil && version > request.Version {
+			request.WantsLimits && !request.Lazy && c.limits.hasNewer(request.Limits) ||
+			request.WantsParts && !request.Lazy && c.parts.hasNewer(request.Parts) || document != nil && version > request.Version {
 			break
 		}
 		select {
@@ -217,6 +218,9 @@
 	if request.WantsLimits {
 		c.limits.fillReply(request.Limits, now, reply)
 	}
+	if request.WantsParts {
+		c.parts.fillReply(request.Parts, now, reply)
+	}
 	for _, m := range node.Members() {
 		reply.Members = append(reply.Members, m.Address)
 	}
@@ -250,6 +254,8 @@
 		}
 		return nil
 	}
-	c.servers.recordCrashes(request, SinceBoot())
+	now := SinceBoot()
+	c.servers.recordCrashes(request, now)
+	c.parts.record(now, request)
 	return nil
 }
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -10,6 +10,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
@@ -51,9 +52,12 @@
 	// Limits are the limits that backend servers named, by server id, also those that
 	// ended lately.
 	Limits map[string]serverlimit.Observation
+	// Parts are what the control group knows of parts of prompts that may crash backend
+	// servers.
+	Parts []quarantine.PartStatus
 
-	listStamp, limitsStamp Stamp
-	compressed             []byte
+	listStamp, limitsStamp, partsStamp Stamp
+	compressed                         []byte
 	// quarantined are the quarantine entries, with remaining times as of quarantinedAt.
 	quarantined   []message.Quarantine
 	quarantinedAt time.Duration
@@ -244,7 +248,7 @@
 		wait = lazyWatchHold
 	}
 	request := &WatchRequest{Version: v.Version, List: v.listStamp, Wait: wait, Lazy: w.options.Lazy,
-		WantsLimits: true, Limits: v.limitsStamp}
+		WantsLimits: true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp}
 	if v.Table == nil {
 		request.Version = 0
 	}
@@ -266,13 +270,18 @@
 	return nil
 }
 
+// wantsParts reports whether this daemon needs the parts of prompts that may crash backend
+// servers. Agents, whose watches are lazy, do not.
+func (w *Watcher) wantsParts() bool { return !w.options.Lazy }
+
 // Refresh gets the newest list with the current loads from the leader without a wait.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	v := w.view.Load()
 	sent := SinceBoot()
 	var reply WatchReply
 	if err := w.options.Pool.Call(ctx, v.Leader, ServiceName+".Watch",
-		&WatchRequest{Version: v.Version, List: v.listStamp, WantsLimits: true, Limits: v.limitsStamp}, &reply); err != nil {
+		&WatchRequest{Version: v.Version, List: v.listStamp, WantsLimits: true, Limits: v.limitsStamp,
+			WantsParts: w.wantsParts(), Parts: v.partsStamp}, &reply); err != nil {
 		return err
 	}
 	return w.mergeReply(&reply, sent)
@@ -329,6 +338,13 @@
 		}
 		changed = true
 	}
+	if reply.HasParts {
+		next.Parts, next.partsStamp = make([]quarantine.PartStatus, 0, len(reply.Parts)), reply.PartsStamp
+		for _, s := range reply.Parts {
+			next.Parts = append(next.Parts, s.Absolute(sent+reply.Held))
+		}
+		changed = true
+	}
 	if len(reply.Members) > 0 {
 		next.Members = reply.Members
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,8 +44,9 @@
 	PromptTokens, MaxTokens int
 	// LengthHint is the caller's estimate of the output length in tokens.
 	LengthHint int
-	// Prefix identifies the shared parts of the prompt, outermost first.
-	Prefix string
+	// Parts are the IDs of the shared parts of the prompt, outermost first, without the
+	// last part, which belongs to the request itself.
+	Parts []string
 }
 
 // ForwardMetadata holds what the gateway tells a backend server about a request.
@@ -152,6 +153,7 @@
 	metrics  metrics
 	services serviceSet
 	limits   *limiter
+	parts    *partGuard
 	lengths  lengthPredictor
 	buffers  bufferBudget
 	started  time.Time
@@ -175,7 +177,12 @@
 	g.metrics = newMetrics(options.Metrics)
 	g.services.init(&options)
 	g.limits = newLimiter(&options)
-	options.Fleet.OnChange(func(v *fleet.View) { g.services.update(g.elapsed(), v); g.limits.update(v) })
+	g.parts = newPartGuard(&options)
+	options.Fleet.OnChange(func(v *fleet.View) {
+		g.services.update(g.elapsed(), v)
+		g.limits.update(v)
+		g.parts.update(v)
+	})
 	g.services.update(0, options.Fleet.View())
 	return g
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -55,6 +55,8 @@
 	sentAt time.Time
 	// suspect is set if servers crashed while running the request.
 	suspect bool
+	// begun is set when a server began to answer the request.
+	begun bool
 	// buffers is the memory that the response holds.
 	buffers budgetShare
 	logger  *zap.Logger
@@ -228,6 +230,7 @@
 		return nil, result, err
 	}
 	x.buffers.release()
+	x.answerBegan(u)
 	body, err := x.buffers.readAll(u.response.Body, maxBufferedBytes)
 	if err != nil {
 		return nil, dispatch.Lost, err
@@ -306,6 +309,9 @@
 
 // refuseUnplaced refuses a request that no server took.
 func (x *exchange) refuseUnplaced(result dispatch.Result) {
+	if x.refuseHeldPart() {
+		return
+	}
 	if result != dispatch.NoServer || len(x.limitedServers) == 0 {
 		x.refuse("no backend server took the request", verdict.ReasonOverloaded)
 		return
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -12,12 +12,19 @@
 	"go.uber.org/zap"
 )
 
-// attempt sends the request to another server.
+// attempt sends the request to another server, unless a part of its prompt is held back.
 func (x *exchange) attempt(ctx context.Context) (backend.Server, *upstream, dispatch.Result, error) {
+	if x.partHeld() {
+		return backend.Server{}, nil, dispatch.NoServer, nil
+	}
 	server, reservation, ok := x.place(ctx)
 	if !ok {
 		return server, nil, dispatch.NoServer, nil
 	}
+	if x.partHeld() {
+		x.reportResult(server.ID, placement.Canceled)
+		return backend.Server{}, nil, dispatch.NoServer, nil
+	}
 	x.tried = append(x.tried, server.ID)
 	f := x.forwardMetadata(server)
 	f.Reservation = reservation
@@ -53,11 +60,13 @@
 // generation it reserves memory first, because load reports are stale when they
 // arrive and all entries read the same ones. If no server has enough free memory,
 // the generation queues at the first choice. A server with a limit gets the
-// generation without a reservation, which would count against the limit too.
+// generation without a reservation, which would count against the limit too, and so does
+// the one server to which a suspected part isolates it.
 func (x *exchange) place(ctx context.Context) (backend.Server, string, bool) {
-	query := placement.Query{Priority: x.priority, Blocks: x.blocks, Exclude: append([]string(nil), x.tried...)}
+	query := placement.Query{Priority: x.priority, Blocks: x.blocks, Exclude: append([]string(nil), x.tried...),
+		IsolationKey: x.g.parts.isolationKey(x.metadata.Parts)}
 	first, limited, ok := x.chooseServer(ctx, query)
-	if !ok || limited || !x.needsReservation() {
+	if !ok || limited || query.IsolationKey != "" || !x.needsReservation() {
 		return first, "", ok
 	}
 	server, asked := first, 0
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -90,7 +90,7 @@
 	}
 	events, timing := &eventReader{in: u.response.Body, buffers: &x.buffers}, eventTiming{lastEvent: x.r.arrived}
 	for resumes := 0; ; resumes++ {
-		sent, err := x.forwardEvents(events, &timing)
+		sent, err := x.forwardEvents(u, events, &timing)
 		switch {
 		case !sent:
 			x.reportResult(u.server.ID, placement.Canceled)
@@ -174,12 +174,13 @@
 
 // forwardEvents sends events to the caller until the stream ends or breaks. Sent is
 // false if the error occurred while writing to the caller.
-func (x *exchange) forwardEvents(events *eventReader, timing *eventTiming) (sent bool, err error) {
+func (x *exchange) forwardEvents(u *upstream, events *eventReader, timing *eventTiming) (sent bool, err error) {
 	for {
 		batch, err := events.next()
 		if err != nil {
 			return true, err
 		}
+		x.answerBegan(u)
 		timing.record(time.Now())
 		if err := x.w.writeBody(batch); err != nil {
 			return false, err
@@ -195,6 +196,9 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if x.partHeld() {
+		return nil, errors.New("a part of the prompt is held back")
+	}
 	address, name, err := x.g.options.Locator.Locate(ctx, from, x.metadata.ID)
 	if err != nil {
 		return nil, err
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -58,7 +58,7 @@
 	if x.g.options.CrashReporter == nil || ctx.Err() != nil || x.g.services.isLeaving(server.ID) {
 		return
 	}
-	digest, sentAt, failedAt := x.digest(), x.sentAt, time.Now()
+	digest, sentAt, failedAt, begun := x.digest(), x.sentAt, time.Now(), x.begun
 	go func() {
 		time.Sleep(crashCheckDelay)
 		conn, err := net.DialTimeout("tcp", server.Address, connectTimeout)
@@ -72,6 +72,9 @@
 		x.g.options.CrashReporter.Crashed(&fleet.CrashRequest{Crashes: []fleet.Crash{{
 			Server: server.ID, Digest: digest, SentAgo: time.Since(sentAt), CrashedAgo: time.Since(failedAt),
 		}}})
+		if !begun {
+			x.suspectParts(server, sentAt, failedAt)
+		}
 	}()
 }
 
