Tell requests with other prompts apart in the table of crashing requests

What callers saw: requests with the body, path and caller of one that crashed three servers were refused for an hour, though they lacked the part of the prompt that crashed them.

Cause: the digest covered method, host, path, caller and body, but no part of the prompt, which bodies may leave out. Class: an identity that covers less than what the server runs on. Change: the digest covers the shared parts too; the last one belongs to the request itself. TestDigestTellsPromptsApart failed before.

--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -201,3 +201,15 @@
 		})
 	}
 }
+
+// Guards against refusals of requests that share everything but a part of the prompt with
+// one that crashes servers.
+func TestDigestTellsPromptsApart(t *testing.T) {
+	digest := func(parts ...string) string {
+		r := &request{Request: &http.Request{Method: http.MethodGet, Host: "h", RequestURI: "/x"}}
+		return (&exchange{r: r, metadata: RequestMetadata{Parts: parts}}).digest()
+	}
+	if digest("a", "d") == digest("a", "b") || digest("a", "d") == digest("a") || digest("a", "d") != digest("a", "d") {
+		t.Error("digests do not tell prompts apart, or repeats")
+	}
+}
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
@@ -29,7 +30,8 @@
 	if x.caller != nil {
 		caller = x.caller.Name
 	}
-	return quarantine.Digest([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(caller), x.r.body)
+	return quarantine.Digest([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(caller), x.r.body,
+		[]byte(strings.Join(x.metadata.Parts, ",")))
 }
 
 // refuseQuarantined refuses a quarantined request, which is one that crashed several
