--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -178,3 +178,32 @@
 		t.Errorf("%d bytes are held while %d responses are read, %d before", held, requests, before)
 	}
 }
+
+// Guards against a stream without length or chunks that broke off inside an event and
+// looks complete, and against one that ended and looks broken off.
+func TestStreamWithoutLength(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent  string
+		whole bool
+	}{
+		"whole events":                 {events(1, 3), true},
+		"inside an event":              {events(1, 3) + "id: 4\nda", false},
+		"after a line inside an event": {events(1, 3) + "id: 4\ndata: x\n", false},
+		"inside the first event":       {"id: 1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nT-Id: "+r.Header.Get("T-Id")+"\r\nT-Seal: s\r\n\r\n"+c.sent)
+				_ = conn.Close()
+			})
+			status, _, body, err := newHarness(t, nil, server).call("/stream/x")
+			if status != http.StatusOK || (err == nil) != c.whole || c.whole && body != c.sent {
+				t.Errorf("%d %q %v, want whole: %v", status, body, err, c.whole)
+			}
+		})
+	}
+}
