Keep the rests that backend servers ask for

What callers saw: a server that answered 503 with Retry-After went on getting requests from the machines that it had asked, 26 of one entry within 3 s of rest; while one of three servers rested, half of all requests were refused.

Cause: nothing reads Retry-After of a server. Ruled out as the cause: the retry budget, which only makes the refusals final.

The longest rest among answers of one moment holds, a later answer replaces it. Afterwards requests are admitted gradually for a second. When no other server has room, callers are refused at once and told when the first rest ends, spread over a second. Values that name no rest are logged once.

--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -91,6 +91,9 @@
 			s.joinedAt = now
 		}
 		b.recordLatency(s, o.FirstToken)
+	case NotSent:
+		s.pending.remove(max(1, o.Blocks))
+		h.probing = false
 	case Canceled:
 		h.probing = false
 	}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -113,13 +113,14 @@
 
 // Results of a placed request. Accepted reports that the server has accepted the
 // request, the other results end it. Failed is an error of the server, Canceled
-// says nothing about it.
+// says nothing about it. NotSent means that the server never got the request.
 const (
 	Accepted Result = iota + 1
 	Refused
 	Failed
 	Completed
 	Canceled
+	NotSent
 )
 
 // Outcome is the result of a request that Choose placed, with its details.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,8 @@
 	HasLoad bool
 	// Limit is what the response says about the rate of requests that the server
 	// accepts.
-	Limit serverlimit.Statement
+	Limit  serverlimit.Statement
+	Notice Notice
 }
 
 // Dialect reads and writes the headers that callers and backend servers use.
@@ -111,11 +112,16 @@
 	ConfirmedAge() (time.Duration, bool)
 }
 
+// Reservation is a server's answer to a request for memory.
+type Reservation struct {
+	// Name identifies the reservation, empty if the server has too little free memory.
+	Name   string
+	Notice Notice
+}
+
 // Reserver reserves memory at backend servers.
 type Reserver interface {
-	// Reserve returns the name of a reservation, and false if the server has too
-	// little free memory.
-	Reserve(ctx context.Context, server backend.Server, tokens int) (reservation string, ok bool, err error)
+	Reserve(ctx context.Context, server backend.Server, tokens int) (Reservation, error)
 }
 
 // Options holds the parameters of a Gateway.
@@ -153,6 +159,7 @@
 	metrics  metrics
 	services serviceSet
 	limits   *limiter
+	notices  *noticeBoard
 	parts    *partGuard
 	lengths  lengthPredictor
 	buffers  bufferBudget
@@ -175,10 +182,12 @@
 		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
 	g.buffers.limit = cmp.Or(options.BufferBytes, defaultBufferBytes)
 	g.metrics = newMetrics(options.Metrics)
+	g.notices = newNoticeBoard(&options)
 	g.services.init(&options)
 	g.limits = newLimiter(&options)
 	g.parts = newPartGuard(&options)
 	options.Fleet.OnChange(func(v *fleet.View) {
+		g.notices.update(v)
 		g.services.update(g.elapsed(), v)
 		g.limits.update(v)
 		g.parts.update(v)
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -51,6 +51,8 @@
 	// limitedServers are the servers that did not get the last attempt because their
 	// limits are used up.
 	limitedServers []string
+	// restingServers are the servers that did not get the last attempt because they rest.
+	restingServers []string
 	// sentAt is when the last attempt was sent.
 	sentAt time.Time
 	// suspect is set if servers crashed while running the request.
@@ -262,6 +264,11 @@
 		if u.response.StatusCode == http.StatusMisdirectedRequest {
 			x.g.services.avoid(x.g.elapsed(), server.ID)
 		}
+	case dispatch.NotSent:
+		outcome.Result = placement.Failed
+		if x.g.notices.resting(server.ID) {
+			outcome.Result = placement.NotSent
+		}
 	default:
 		outcome.Result = placement.Failed
 	}
@@ -312,6 +319,9 @@
 	if x.refuseHeldPart() {
 		return
 	}
+	if result == dispatch.NoServer && len(x.restingServers) > 0 && x.refuseForRest() {
+		return
+	}
 	if result != dispatch.NoServer || len(x.limitedServers) == 0 {
 		x.refuse("no backend server took the request", verdict.ReasonOverloaded)
 		return
@@ -322,6 +332,19 @@
 		verdict.ReasonOverloaded, retryAfter, fields...)
 }
 
+// refuseForRest refuses the request because servers rest, and reports whether one does.
+func (x *exchange) refuseForRest() bool {
+	retryAfter := x.g.notices.retryAfter(x.restingServers, x.g.random())
+	if retryAfter == 0 {
+		return false
+	}
+	x.g.metrics.refused.Add(1)
+	x.g.notices.metrics.refused.Add(1)
+	x.fail(http.StatusServiceUnavailable, verdict.NotRun, "the backend servers asked for rest", verdict.ReasonOverloaded,
+		retryAfter, zap.Strings("resting_servers", x.restingServers))
+	return true
+}
+
 // fail sends an error response of the gateway itself and logs it with more fields.
 func (x *exchange) fail(status int, v verdict.Verdict, text string, reason verdict.Reason, retryAfter time.Duration,
 	fields ...zap.Field) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -22,9 +22,14 @@
 		return server, nil, dispatch.NoServer, nil
 	}
 	if x.partHeld() {
-		x.reportResult(server.ID, placement.Canceled)
+		x.reportResult(server.ID, placement.NotSent)
 		return backend.Server{}, nil, dispatch.NoServer, nil
 	}
+	if x.g.notices.resting(server.ID) {
+		// The server asked for rest while the request was being placed.
+		x.tried = append(x.tried, server.ID)
+		return server, nil, dispatch.NotSent, nil
+	}
 	x.tried = append(x.tried, server.ID)
 	f := x.forwardMetadata(server)
 	f.Reservation = reservation
@@ -71,12 +76,13 @@
 	}
 	server, asked := first, 0
 	for {
-		reservation, reserved, err := x.g.options.Reserver.Reserve(ctx, server, x.reservedTokens())
-		if err == nil && reserved {
+		reservation, err := x.g.options.Reserver.Reserve(ctx, server, x.reservedTokens())
+		x.g.notices.observe(server, reservation.Notice)
+		if err == nil && reservation.Name != "" {
 			if server.ID != first.ID {
 				x.reportResult(first.ID, placement.Canceled)
 			}
-			return server, reservation, true
+			return server, reservation.Name, true
 		}
 		if asked++; asked == 1 || err != nil {
 			x.logger.Info("no room at a backend server", zap.String("backend_server", server.ID),
@@ -113,13 +119,15 @@
 }
 
 // placeUnreserved returns first, or another server if first has named a limit
-// meanwhile that is used up.
+// meanwhile that is used up, or rests.
 func (x *exchange) placeUnreserved(ctx context.Context, first backend.Server, query placement.Query) (
 	backend.Server, string, bool) {
-	if permitted, _ := x.g.limits.permit(ctx, first, false); permitted {
-		return first, "", true
+	if x.g.notices.admit(first.ID) {
+		if permitted, _ := x.g.limits.permit(ctx, first, false); permitted {
+			return first, "", true
+		}
 	}
-	x.reportResult(first.ID, placement.Refused)
+	x.reportResult(first.ID, placement.NotSent)
 	query.Exclude = append(slices.Clone(x.tried), first.ID)
 	server, _, ok := x.chooseServer(ctx, query)
 	return server, "", ok
@@ -127,33 +135,42 @@
 
 // chooseServer returns a server that may get the request now, and whether it has a
 // limit. It returns false if there is none, and then x.limitedServers are the servers
-// whose limits are used up.
+// whose limits are used up, and x.restingServers those that rest.
 func (x *exchange) chooseServer(ctx context.Context, query placement.Query) (server backend.Server, limited, ok bool) {
 	query.Exclude = slices.Clone(query.Exclude)
-	x.limitedServers = nil
-	exclude := func(ids ...string) {
+	x.limitedServers, x.restingServers = nil, nil
+	exclude := func(list *[]string, ids ...string) {
 		for _, id := range ids {
-			if !slices.Contains(x.limitedServers, id) && !slices.Contains(x.tried, id) {
-				x.limitedServers = append(x.limitedServers, id)
+			if !slices.Contains(*list, id) {
+				*list = append(*list, id)
 			}
 		}
 		query.Exclude = append(query.Exclude, ids...)
 	}
 	for {
-		exclude(x.g.limits.waiting(x.service)...)
+		exclude(&x.limitedServers, slices.DeleteFunc(x.g.limits.waiting(x.service), x.wasTried)...)
+		exclude(&x.restingServers, x.g.notices.waiting(x.service)...)
 		server, ok = x.g.services.choose(x.g.elapsed(), x.service, query)
 		if !ok {
 			return server, false, false
 		}
+		if !x.g.notices.admit(server.ID) {
+			x.reportResult(server.ID, placement.NotSent)
+			exclude(&x.restingServers, server.ID)
+			continue
+		}
 		permitted, limited := x.g.limits.permit(ctx, server, false)
 		if permitted {
 			return server, limited, true
 		}
-		x.reportResult(server.ID, placement.Refused)
-		exclude(server.ID)
+		x.reportResult(server.ID, placement.NotSent)
+		exclude(&x.limitedServers, server.ID)
 	}
 }
 
+// wasTried reports whether the request was sent to a server already.
+func (x *exchange) wasTried(id string) bool { return slices.Contains(x.tried, id) }
+
 // needsReservation reports whether memory is reserved for the request.
 func (x *exchange) needsReservation() bool {
 	if x.g.options.Reserver == nil || x.route.Kind != desired.Stream || x.metadata.PromptTokens == 0 {
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -23,11 +23,14 @@
 	asked []string
 }
 
-func (r *testReserver) Reserve(_ context.Context, s backend.Server, tokens int) (string, bool, error) {
+func (r *testReserver) Reserve(_ context.Context, s backend.Server, tokens int) (Reservation, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.asked = append(r.asked, s.ID)
-	return "hold-" + s.ID, r.free[s.ID], nil
+	if !r.free[s.ID] {
+		return Reservation{}, nil
+	}
+	return Reservation{Name: "hold-" + s.ID}, nil
 }
 
 // engineDialect also sets the size of generations and forwards reservations.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -207,6 +207,9 @@
 	if !ok {
 		return nil, errors.Errorf("no server is known at %s", address)
 	}
+	if !x.g.notices.awaitRest(ctx, server.ID) {
+		return nil, errors.New("the server with the copy asked for rest")
+	}
 	if !x.g.limits.permitResume(ctx, server) {
 		return nil, errors.New("the limit of the server with the copy is used up")
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -142,11 +142,21 @@
 	if u.metadata.HasLoad {
 		g.services.observeLoad(g.elapsed(), u.server, u.metadata.Load)
 	}
-	result, err := classify(u, g.options.Dialect.ReadRequest(r.Header).ID)
+	id := g.options.Dialect.ReadRequest(r.Header).ID
+	result, err := classify(u, id)
 	g.limits.observe(u, result)
+	if u.isOwn(id) {
+		g.notices.observe(u.server, u.metadata.Notice)
+	}
 	return result, err
 }
 
+// isOwn reports whether the response is the server's own to a request. Another instance at
+// its address rejects misdirected requests.
+func (u *upstream) isOwn(id string) bool {
+	return (u.metadata.ID == "" || u.metadata.ID == id) && u.response.StatusCode != http.StatusMisdirectedRequest
+}
+
 // classify returns the result of an attempt that got a response. A response that is
 // not certainly the server's response to this request counts as lost.
 func classify(u *upstream, id string) (dispatch.Result, error) {
