Send nothing more to a backend server that says that it leaves

What callers saw: 93 requests of six entries reached a server later than 3 s after it had said in an answer that it leaves (Server-Leaving), because the list still showed it as ready.

Cause: nothing reads the header. Class: what a server says of itself is not read. The mark is kept while the server is listed, so new views do not forget it, and a new start has another id.

--- a/core/placement/members.go
+++ b/core/placement/members.go
@@ -59,6 +59,13 @@
 	b.populated = b.populated || len(servers) > 0
 }
 
+// SetLeaving gives no more requests to a server, until the next call of SetServers.
+func (b *Balancer) SetLeaving(name string) {
+	if s := b.servers[name]; s != nil {
+		s.Leaving = true
+	}
+}
+
 func hash64(parts ...string) uint64 {
 	h := fnv.New64a()
 	for _, p := range parts {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,7 +183,7 @@
 	g.buffers.limit = cmp.Or(options.BufferBytes, defaultBufferBytes)
 	g.metrics = newMetrics(options.Metrics)
 	g.notices = newNoticeBoard(&options)
-	g.services.init(&options)
+	g.services.init(&options, g.notices)
 	g.limits = newLimiter(&options)
 	g.parts = newPartGuard(&options)
 	options.Fleet.OnChange(func(v *fleet.View) {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -16,6 +16,8 @@
 
 // Notice is what any answer of a backend server says of the server itself.
 type Notice struct {
+	// Leaving is set if the server leaves.
+	Leaving bool
 	// Rest is how long the server wants no requests from this entry, 0 for no rest.
 	Rest time.Duration
 	// MalformedRest is a value that names no rest, empty if there is none.
@@ -23,13 +25,15 @@
 }
 
 // noticeBoard keeps what servers said of themselves in answers to this entry: that they
-// want rest. The list of servers does not show it.
+// leave, and that they want rest. The list of servers shows the former later, the latter
+// not at all.
 type noticeBoard struct {
 	logger  *zap.Logger
 	metrics noticeMetrics
 
-	mu    sync.Mutex
-	rests *rest.Table
+	mu      sync.Mutex
+	rests   *rest.Table
+	leaving map[string]bool
 	// services maps the servers that ever asked for rest to their services.
 	services map[string]string
 	// malformedLogged holds the servers whose malformed rests were logged.
@@ -38,22 +42,24 @@
 
 // noticeMetrics are labeled by service, but for refused.
 type noticeMetrics struct {
-	rests   *observe.Counters
-	refused *expvar.Int
+	rests, leaving *observe.Counters
+	refused        *expvar.Int
 }
 
 func newNoticeBoard(options *Options) *noticeBoard {
-	return &noticeBoard{logger: options.Logger, rests: rest.NewTable(),
+	return &noticeBoard{logger: options.Logger, rests: rest.NewTable(), leaving: map[string]bool{},
 		services: map[string]string{}, malformedLogged: map[string]bool{}, metrics: noticeMetrics{
 			rests:   options.Metrics.Counters("gateway_server_rests_total", maxServices),
+			leaving: options.Metrics.Counters("gateway_server_leaving_total", maxServices),
 			refused: options.Metrics.Counter("gateway_rest_refused_total"),
 		}}
 }
 
-// observe records a notice of a server.
-func (b *noticeBoard) observe(server backend.Server, n Notice) {
+// observe records a notice of a server, and reports whether the server newly says that it
+// leaves.
+func (b *noticeBoard) observe(server backend.Server, n Notice) (leaves bool) {
 	if n == (Notice{}) {
-		return
+		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -69,6 +75,20 @@
 			b.logger.Info("backend server asks for rest", append(fields, zap.Duration("rest_seconds", n.Rest))...)
 		}
 	}
+	if n.Leaving && !b.leaving[server.ID] {
+		b.leaving[server.ID] = true
+		b.metrics.leaving.Add(server.Service, 1)
+		b.logger.Info("backend server says that it leaves", fields...)
+		return true
+	}
+	return false
+}
+
+// saysLeaving reports whether a server said that it leaves.
+func (b *noticeBoard) saysLeaving(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leaving[id]
 }
 
 // waiting returns the servers of a service that can not get a request now, because they
@@ -121,7 +141,7 @@
 func (b *noticeBoard) update(v *fleet.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.services)+len(b.malformedLogged) == 0 {
+	if len(b.leaving)+len(b.services)+len(b.malformedLogged) == 0 {
 		return
 	}
 	listed := make(map[string]bool, len(v.Servers))
@@ -134,9 +154,18 @@
 			delete(b.services, id)
 		}
 	}
-	for id := range b.malformedLogged {
-		if !listed[id] {
-			delete(b.malformedLogged, id)
+	for _, set := range []map[string]bool{b.leaving, b.malformedLogged} {
+		for id := range set {
+			if !listed[id] {
+				delete(set, id)
+			}
 		}
 	}
 }
+
+// observeNotice records what an answer says of its server.
+func (g *Gateway) observeNotice(server backend.Server, n Notice) {
+	if g.notices.observe(server, n) {
+		g.services.setLeaving(server)
+	}
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -77,7 +77,7 @@
 	server, asked := first, 0
 	for {
 		reservation, err := x.g.options.Reserver.Reserve(ctx, server, x.reservedTokens())
-		x.g.notices.observe(server, reservation.Notice)
+		x.g.observeNotice(server, reservation.Notice)
 		if err == nil && reservation.Name != "" {
 			if server.ID != first.ID {
 				x.reportResult(first.ID, placement.Canceled)
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -39,6 +39,7 @@
 // serviceSet holds the placement state of all services and the known servers.
 type serviceSet struct {
 	options *Options
+	notices *noticeBoard
 	mu      sync.Mutex
 	byName  map[string]*service
 	servers map[string]backend.Server
@@ -55,8 +56,8 @@
 	slots       int
 }
 
-func (s *serviceSet) init(options *Options) {
-	s.options = options
+func (s *serviceSet) init(options *Options, notices *noticeBoard) {
+	s.options, s.notices = options, notices
 	s.byName, s.servers, s.avoidUntil = map[string]*service{}, map[string]backend.Server{}, map[string]time.Duration{}
 }
 
@@ -93,7 +94,7 @@
 		s.servers[server.ID] = server
 		lists[server.Service] = append(lists[server.Service], placement.Server{
 			Name: server.ID, Distance: s.options.Regions.Distance(s.options.FailureDomain, server.FailureDomain),
-			Blocks: declaredBlocks(v.Table, server), Leaving: server.Leaving,
+			Blocks: declaredBlocks(v.Table, server), Leaving: server.Leaving || s.notices.saysLeaving(server.ID),
 		})
 	}
 	for name, list := range lists {
@@ -209,11 +210,18 @@
 	return backend.Server{}, false
 }
 
-// isLeaving reports whether a server has been told to leave.
+// isLeaving reports whether a server has been told to leave, or says that it leaves.
 func (s *serviceSet) isLeaving(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.servers[id].Leaving
+	return s.servers[id].Leaving || s.notices.saysLeaving(id)
+}
+
+// setLeaving gives no more requests to a server that said that it leaves.
+func (s *serviceSet) setLeaving(server backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.get(server.Service).placement.SetLeaving(server.ID)
 }
 
 // withRetryBudget calls f with the retry budget of a service while holding s.mu.
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -146,7 +146,7 @@
 	result, err := classify(u, id)
 	g.limits.observe(u, result)
 	if u.isOwn(id) {
-		g.notices.observe(u.server, u.metadata.Notice)
+		g.observeNotice(u.server, u.metadata.Notice)
 	}
 	return result, err
 }
