Count a refusal against the room of a backend server

What callers saw: a server that refuses at once drew 350 of 413 requests of its service, and most were refused although two others had room.

Cause: placement took a refused request back from the server's load, and the load that came with the refusal was that of an idle server. Class: silence, or a quick answer, is taken for room. Ruled out: that only Retry-After helps; the server of the test names no rest. Change: after a refusal a server's score is that of one that is more than full, for 0.25 s and twice as long with each further one up to 2 s, for requests that are no more urgent; an accepted or completed request ends it.

--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -18,6 +18,11 @@
 	// backoffPriority avoid a server that refused.
 	backoffUntil    time.Duration
 	backoffPriority int
+	// refusals is the number of successive refusals, the last one at refusedAt, of requests
+	// with a priority of at most refusedPriority.
+	refusals        int
+	refusedAt       time.Duration
+	refusedPriority int
 	// latency is the smoothed time to first token. slowness is its ratio to the
 	// median of the subset if the server counts as slow, otherwise 1.
 	latency  float64
@@ -54,6 +59,12 @@
 	// maxSlowness bounds the penalty, so that a slow server still gets an
 	// occasional request that can show its recovery.
 	maxSlowness = 10
+	// refusalScore is what a refusal adds to the score of a server for a time that starts
+	// with refusalMemory and doubles with each successive refusal up to maxRefusalMemory. It
+	// outweighs full memory, so that the server is used only if all others refuse too.
+	refusalScore     = 2.0
+	refusalMemory    = 250 * time.Millisecond
+	maxRefusalMemory = 2 * time.Second
 	// maxBackoff bounds the time for which one refusal keeps requests away from a
 	// server.
 	maxBackoff = time.Second
@@ -68,6 +79,7 @@
 	h := &s.health
 	switch o.Result {
 	case Accepted:
+		h.refusals = 0
 		// A reply of any kind shows that the server is reachable, but only a
 		// completed request shows that it works.
 	case Refused:
@@ -77,6 +89,10 @@
 			h.backoffPriority = o.Priority
 		}
 		h.backoffUntil = now + min(o.RetryAfter/2, maxBackoff)
+		if h.refusals == 0 || o.Priority > h.refusedPriority {
+			h.refusedPriority = o.Priority
+		}
+		h.refusals, h.refusedAt = h.refusals+1, now
 	case Failed:
 		s.pending.remove(max(1, o.Blocks))
 		h.consecutiveFailures++
@@ -84,7 +100,7 @@
 			b.eject(now, h)
 		}
 	case Completed:
-		h.consecutiveFailures = 0
+		h.consecutiveFailures, h.refusals = 0, 0
 		if h.ejected {
 			h.ejected, h.probing, h.ejections = false, false, 0
 			b.ejectedCount--
@@ -99,6 +115,15 @@
 	}
 }
 
+// refusalPenalty returns what the last refusals add to the score. A server that refuses has
+// no room, though it reports the load of an idle one if it refuses all requests.
+func (h *health) refusalPenalty(now time.Duration, priority int) float64 {
+	if h.refusals == 0 || priority > h.refusedPriority || now-h.refusedAt >= min(refusalMemory<<min(h.refusals-1, 10), maxRefusalMemory) {
+		return 0
+	}
+	return refusalScore
+}
+
 // eject takes a server out of use for a time that doubles with each ejection. It
 // does nothing if too many servers are ejected already, because the fault is then
 // likely elsewhere.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -296,8 +296,8 @@
 
 // score returns the expected load of a server with the request: the used fraction
 // of its memory, including the requests of this entry that the load hint does not
-// include yet, plus its weighted queue delay. A slow or new server has a higher
-// score.
+// include yet, plus its weighted queue delay. A slow or new server, or one that refused a
+// request lately, has a higher score.
 func (b *Balancer) score(now time.Duration, s *server, q Query) float64 {
 	total := float64(s.hint.TotalBlocks)
 	free := float64(s.hint.FreeBlocks)
@@ -309,7 +309,7 @@
 	}
 	used := total - free + float64(s.pending.blocks+max(1, q.Blocks))
 	score := used/total + float64(delay)/float64(b.cfg.DelayUnit)
-	score *= s.health.slowness
+	score = score*s.health.slowness + s.health.refusalPenalty(now, q.Priority)
 	if age := now - s.joinedAt; age < b.cfg.SlowStart {
 		score += 1 - float64(age)/float64(b.cfg.SlowStart)
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -329,3 +329,39 @@
 		}
 	}
 }
+
+// Guards against a server that draws requests because it refuses them at once and reports
+// no load, and against one that is not tried again.
+func TestRefusingServerHasNoRoom(t *testing.T) {
+	b := New(Config{Entry: "e", Choices: 8}, rand.New(rand.NewSource(1)))
+	b.SetServers(0, []Server{{Name: "a", Distance: failuredomain.SameDomain, Blocks: 100},
+		{Name: "b", Distance: failuredomain.OtherRegion, Blocks: 100}})
+	refused, now := 0, time.Duration(0)
+	for range 400 {
+		now += 10 * time.Millisecond
+		name, ok := b.Choose(now, Query{Blocks: 10})
+		if !ok {
+			t.Fatal("no server")
+		}
+		free := 50
+		result := Completed
+		if name == "a" {
+			free, result = 100, Refused
+			refused++
+		}
+		b.Report(now, Outcome{Server: name, Result: result, Blocks: 10})
+		b.Hint(now, message.LoadHint{BackendServer: name, FreeBlocks: free, TotalBlocks: 100}, 0)
+	}
+	if refused < 2 || refused > 8 {
+		t.Errorf("%d of 400 requests in 4 s to the server that refuses", refused)
+	}
+	b.Report(now, Outcome{Server: "a", Result: Completed})
+	if name, _ := b.Choose(now, Query{Blocks: 10}); name != "a" {
+		t.Errorf("chose %s after a completed a request", name)
+	}
+	b.SetServers(now, []Server{{Name: "a", Blocks: 100}})
+	b.Report(now, Outcome{Server: "a", Result: Refused, Blocks: 10})
+	if _, ok := b.Choose(now, Query{Blocks: 10}); !ok {
+		t.Error("the only server is not used after it refused")
+	}
+}
