Refuse only requests with all parts that may be the cause

Cause: a tie was met by waiting for one more crash and then holding back each part. Change: suspects that explain each other's crashes are held back together at the second crash. Only requests with all of them are refused; one alone goes to an isolated server, where a begun answer clears it and a crash convicts it.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -11,8 +11,7 @@
 // Thresholds, durations and limits of Parts.
 const (
 	// partCrashes is the number of successive crashes that holds back a part on which no
-	// answer was ever seen to begin, and soundPartCrashes that of other parts. One more is
-	// needed while another part was under way at the same crashes.
+	// answer was ever seen to begin, and soundPartCrashes that of other parts.
 	partCrashes      = 2
 	soundPartCrashes = 4
 	// partSuspectTTL is how long a part remains suspected after its last crash.
@@ -54,6 +53,9 @@
 	Sound bool
 	// Holds is how often the part was held back.
 	Holds int
+	// With lists the parts that were under way at the same crashes, so that any of them may
+	// be the cause. Only requests with all of them are refused.
+	With []string
 	// Servers are the instances of backend servers that crashed with the part under way.
 	Servers []string
 	// LastCrash is the time of the last crash, Until the end of the hold, and ClearedAt
@@ -114,7 +116,7 @@
 	if c.Server == "" || t.explains(c) {
 		return changed
 	}
-	var candidates []*part
+	var candidates, added []*part
 	for _, id := range c.Parts[:min(len(c.Parts), MaxPartsPerCrash)] {
 		p := t.records[id]
 		switch {
@@ -122,17 +124,25 @@
 			sound := p != nil && p.Sound
 			p = t.add(now, id)
 			p.Sound = sound
-			changed = append(changed, p.PartStatus)
+			added = append(added, p)
 		case p.State == PartCleared:
 			continue
+		case p.State == PartHeld:
+			// The request lacked parts of p.With, so it was not refused.
+			p.With, p.LastCrash, p.changedAt = nil, max(p.LastCrash, c.Crashed), now
+			changed = append(changed, p.PartStatus)
+			continue
 		}
 		p.Sound = p.Sound || slices.Contains(c.Sound, id)
 		p.count(now, c)
 		candidates = append(candidates, p)
 	}
+	for _, p := range added {
+		changed = append(changed, p.PartStatus)
+	}
 	var guilty []*part
 	for _, p := range candidates {
-		if p.State == PartSuspected && p.Crashes >= t.needed(p) {
+		if p.State == PartSuspected && t.isGuilty(p) {
 			guilty = append(guilty, p)
 		}
 	}
@@ -143,7 +153,7 @@
 // suspicion.
 func (t *Parts) explains(c PartCrash) bool {
 	for _, id := range c.Parts {
-		if p := t.records[id]; p != nil && p.State == PartHeld {
+		if p := t.records[id]; p != nil && p.refuses(c.Parts) {
 			p.addServer(c.Server, false)
 			p.LastCrash = max(p.LastCrash, c.Crashed)
 			t.explain(c.Server, c.Crashed)
@@ -201,25 +211,24 @@
 	}
 }
 
-// needed returns the number of crashes at which a suspect is held back.
-func (t *Parts) needed(p *part) int {
-	needed := partCrashes
-	if p.Sound {
-		needed = soundPartCrashes
+// refuses reports whether requests with these parts are refused because of p.
+func (p *part) refuses(ids []string) bool {
+	return p.State == PartHeld && slices.Contains(ids, p.ID) &&
+		!slices.ContainsFunc(p.With, func(id string) bool { return !slices.Contains(ids, id) })
+}
+
+// isGuilty reports whether a suspect was under way at enough crashes to be held back. A
+// part on which answers began waits while another one explains its crashes as well.
+func (t *Parts) isGuilty(p *part) bool {
+	if !p.Sound {
+		return p.Crashes >= partCrashes
 	}
 	for _, other := range t.records {
-		if other == p || other.State != PartSuspected || other.Crashes < p.Crashes || !other.coversCrashesOf(p) {
-			continue
-		}
-		switch {
-		case p.Sound && !other.Sound:
-			return p.Crashes + 1
-		case p.Sound == other.Sound:
-			needed++
-			return needed
+		if other.State == PartSuspected && !other.Sound && other.coversCrashesOf(p) {
+			return false
 		}
 	}
-	return needed
+	return p.Crashes >= soundPartCrashes
 }
 
 // coversCrashesOf reports whether p was under way at all crashes that count for other.
@@ -233,7 +242,16 @@
 }
 
 // hold holds back suspects and clears those that were suspected for the same crashes only.
+// Suspects that explain each other's crashes are held back together.
 func (t *Parts) hold(now time.Duration, guilty []*part) (held []PartStatus) {
+	for _, p := range guilty {
+		p.With = nil
+		for _, other := range guilty {
+			if other != p && other.coversCrashesOf(p) {
+				p.With = append(p.With, other.ID)
+			}
+		}
+	}
 	for _, p := range guilty {
 		p.State, p.changedAt = PartHeld, now
 		p.Until = now + min(firstHold<<min(p.Holds, 10), maxHold)
@@ -281,6 +299,11 @@
 	if p.State == PartSuspected && begun > p.LastCrash || p.State == PartHeld && sent > p.LastCrash {
 		p.clear(begun)
 		p.Sound = true
+		for _, other := range t.records {
+			if i := slices.Index(other.With, id); i >= 0 {
+				other.With, other.changedAt = slices.Delete(slices.Clone(other.With), i, i+1), now
+			}
+		}
 		return append(cleared, p.PartStatus)
 	}
 	p.Sound = p.Sound || p.State == PartSuspected
@@ -307,7 +330,7 @@
 		switch {
 		case p.State == PartHeld && now >= p.Until:
 			p.State, p.changedAt, p.Crashes = PartSuspected, now, partCrashes-1
-			p.Servers, p.counted, p.Sound = nil, nil, false
+			p.Servers, p.counted, p.Sound, p.With = nil, nil, false, nil
 			ended = append(ended, p.PartStatus)
 		case p.State == PartSuspected && now-p.changedAt > partSuspectTTL, p.State == PartCleared && now-p.changedAt > clearedTTL:
 			delete(t.records, id)
@@ -316,13 +339,13 @@
 	return ended
 }
 
-// Held returns the first of the parts that is held back.
+// Held returns the first of a request's parts because of which it is refused.
 func (t *Parts) Held(now time.Duration, ids []string) (PartStatus, bool) {
 	if len(t.records) == 0 {
 		return PartStatus{}, false
 	}
 	for _, id := range ids {
-		if p := t.records[id]; p != nil && p.State == PartHeld && now < p.Until {
+		if p := t.records[id]; p != nil && now < p.Until && p.refuses(ids) {
 			return p.PartStatus, true
 		}
 	}
@@ -336,7 +359,7 @@
 	var suspects []string
 	for _, id := range ids {
 		p := t.records[id]
-		if p != nil && p.State == PartSuspected && (!p.Sound || p.Crashes >= partCrashes) {
+		if p != nil && (p.State == PartHeld || p.State == PartSuspected && (!p.Sound || p.Crashes >= partCrashes)) {
 			suspects = append(suspects, id)
 		}
 	}
@@ -397,6 +420,9 @@
 	p.Crashes = max(p.Crashes, s.Crashes)
 	p.LastCrash, p.lastCounted = max(p.LastCrash, s.LastCrash), max(p.lastCounted, s.LastCrash)
 	if s.State == PartHeld {
+		if p.State != PartHeld || len(s.With) < len(p.With) {
+			p.With = s.With
+		}
 		p.State, p.Until = PartHeld, max(p.Until, s.Until)
 	}
 	p.changedAt = max(p.changedAt, p.LastCrash)
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -91,7 +91,9 @@
 		}
 	}
 	now := fleet.SinceBoot()
-	p.log(p.table.RecordCrash(now, c))
+	for _, s := range p.table.RecordCrash(now, c) {
+		p.logVerdict(false, s)
+	}
 	p.mu.Unlock()
 	c.Sent, c.Crashed = now-sent, now-crashed
 	p.report(&fleet.CrashRequest{PartCrashes: []quarantine.PartCrash{c}})
@@ -125,7 +127,9 @@
 		}
 		p.recent[id] = beginning{sent, now}
 		if s, known := p.table.Status(id); known && s.State != quarantine.PartCleared {
-			p.log(p.table.RecordBegun(now, id, sent, now))
+			for _, cleared := range p.table.RecordBegun(now, id, sent, now) {
+				p.logVerdict(s.State == quarantine.PartHeld, cleared)
+			}
 			report = append(report, fleet.PartBegun{Part: id, SentAgo: now - sent})
 		}
 	}
@@ -153,7 +157,8 @@
 	published := make(map[string]bool, len(v.Parts))
 	for _, s := range v.Parts {
 		published[s.ID] = true
-		if _, known := p.table.Status(s.ID); !known && s.State == quarantine.PartSuspected {
+		before, known := p.table.Status(s.ID)
+		if !known && s.State == quarantine.PartSuspected {
 			if b, begun := p.beginning(s.ID); begun {
 				report.PartsBegun = append(report.PartsBegun,
 					fleet.PartBegun{Part: s.ID, SentAgo: now - b.sent, BegunAgo: now - b.arrived})
@@ -161,7 +166,7 @@
 		}
 		if p.table.Merge(now, s) {
 			current, _ := p.table.Status(s.ID)
-			p.log([]quarantine.PartStatus{current})
+			p.logVerdict(before.State == quarantine.PartHeld, current)
 		}
 	}
 	for _, s := range p.table.Statuses(now, maxBeginnings) {
@@ -178,12 +183,11 @@
 	}
 }
 
-// log logs changes other than suspicions, which the control group logs.
-func (p *partGuard) log(changed []quarantine.PartStatus) {
-	for _, s := range changed {
-		if s.State != quarantine.PartSuspected {
-			fleet.LogPart(p.logger, fleet.SinceBoot(), s)
-		}
+// logVerdict logs the beginning or end of a hold. Suspicions are logged by the control
+// group.
+func (p *partGuard) logVerdict(wasHeld bool, s quarantine.PartStatus) {
+	if wasHeld != (s.State == quarantine.PartHeld) {
+		fleet.LogPart(p.logger, fleet.SinceBoot(), s)
 	}
 }
 
--- a/operator/parts.go
+++ b/operator/parts.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -52,14 +53,14 @@
 		return nil
 	}
 	w := tabwriter.NewWriter(inv.app.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "part\tstate\tcrashes\tlast crash\theld for\tcrashed servers")
+	fmt.Fprintln(w, "part\tstate\tcrashes\tlast crash\theld for\tonly with\tcrashed servers")
 	for _, s := range reply.Parts {
 		heldFor := "-"
 		if s.State == quarantine.PartHeld {
 			heldFor = s.Until.Round(time.Second).String()
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\t%s\n", s.ID, partStates[s.State], s.Crashes,
-			(-s.LastCrash).Round(time.Second), heldFor, strings.Join(s.Servers, " "))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\t%s\t%s\n", s.ID, partStates[s.State], s.Crashes,
+			(-s.LastCrash).Round(time.Second), heldFor, cmp.Or(strings.Join(s.With, " "), "-"), strings.Join(s.Servers, " "))
 	}
 	return errors.Wrap(w.Flush(), "print the parts")
 }
