Report beginnings on parts that are suspected again

An entry that had a cleared record of a part did not tell the group of an answer that began on it after the new crash but before the new suspicion arrived; the suspicion then lasted until the next answer.

--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -158,8 +158,8 @@
 	for _, s := range v.Parts {
 		published[s.ID] = true
 		before, known := p.table.Status(s.ID)
-		if !known && s.State == quarantine.PartSuspected {
-			if b, begun := p.beginning(s.ID); begun {
+		if s.State == quarantine.PartSuspected && (!known || before.State == quarantine.PartCleared) {
+			if b, begun := p.beginning(s.ID); begun && (!known || b.arrived > s.LastCrash) {
 				report.PartsBegun = append(report.PartsBegun,
 					fleet.PartBegun{Part: s.ID, SentAgo: now - b.sent, BegunAgo: now - b.arrived})
 			}
