Do not blame one of two parts for a single crash of another cause

Found by reading: of parts that are held back together, one crash of a request with one of them alone, reported before the cause of that crash was known, held that one back by itself. In a burst this can be the first part of many sound requests. Now it takes two successive crashes of requests that were sent after the last one, as for any suspect, and all parts because of which a crashed request would be refused count that crash. TestPartsHeldTogether has the case; it failed before.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -45,6 +45,9 @@
 	counted []bool
 	// lastCounted is the time of the last crash that is in Crashes.
 	lastCounted time.Duration
+	// crashesAlone is the number of successive crashes of requests that lacked parts of With
+	// and thus were not refused.
+	crashesAlone int
 	// changedAt is the time of the last change, by which records expire.
 	changedAt time.Duration
 }
@@ -83,9 +86,9 @@
 		case p.State == PartCleared:
 			continue
 		case p.State == PartHeld:
-			// The request lacked parts of p.With, so it was not refused.
-			p.With, p.LastCrash, p.changedAt = nil, max(p.LastCrash, c.Crashed), now
-			changed = append(changed, p.PartStatus)
+			if p.countAlone(now, c) {
+				changed = append(changed, p.PartStatus)
+			}
 			continue
 		}
 		p.Sound = p.Sound || slices.Contains(c.Sound, id)
@@ -107,14 +110,18 @@
 // explains reports whether a held part is the cause of a crash, which then raises no other
 // suspicion.
 func (t *Parts) explains(c PartCrash) bool {
+	explained := false
 	for _, id := range c.Parts {
 		if p := t.records[id]; p != nil && p.refuses(c.Parts) {
 			p.addServer(c.Server, false)
-			p.LastCrash = max(p.LastCrash, c.Crashed)
+			p.LastCrash, p.lastCounted = max(p.LastCrash, c.Crashed), max(p.lastCounted, c.Crashed)
 			t.explain(c.Server, c.Crashed)
-			return true
+			explained = true
 		}
 	}
+	if explained {
+		return true
+	}
 	for _, p := range t.records {
 		if p.State == PartHeld && slices.Contains(p.Servers, c.Server) {
 			return true
@@ -160,6 +167,21 @@
 	}
 }
 
+// countAlone counts a crash of a request with a held part that lacked parts of With, and
+// reports whether the part is held back alone from now on.
+func (p *part) countAlone(now time.Duration, c PartCrash) (alone bool) {
+	if c.Sent < p.lastCounted {
+		return false
+	}
+	p.crashesAlone++
+	p.LastCrash, p.lastCounted, p.changedAt = max(p.LastCrash, c.Crashed), c.Crashed, now
+	if p.crashesAlone < partCrashes || len(p.With) == 0 {
+		return false
+	}
+	p.With = nil
+	return true
+}
+
 func (p *part) addServer(server string, counted bool) {
 	if len(p.Servers) < maxServersPerPart && !slices.Contains(p.Servers, server) {
 		p.Servers, p.counted = append(slices.Clip(p.Servers), server), append(p.counted, counted)
@@ -200,7 +222,7 @@
 // Suspects that explain each other's crashes are held back together.
 func (t *Parts) hold(now time.Duration, guilty []*part) (held []PartStatus) {
 	for _, p := range guilty {
-		p.With = nil
+		p.With, p.crashesAlone = nil, 0
 		for _, other := range guilty {
 			if other != p && other.coversCrashesOf(p) {
 				p.With = append(p.With, other.ID)
