--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -9,6 +11,7 @@
 	"testing"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/fleet"
 )
@@ -214,3 +217,62 @@
 		t.Error("digests do not tell prompts apart, or repeats")
 	}
 }
+
+// Guards against an entry that does not hold back a part which crashed servers before its
+// eyes, because it can not reach the control group.
+func TestEntryDecidesWithoutTheGroup(t *testing.T) {
+	server := newTestServer(t, echo)
+	h, _ := newPartHarness(t, server)
+	h.gateway.parts.reporter = nil
+	for i, instance := range []string{"gone-1", "gone-2"} {
+		now := fleet.SinceBoot() + time.Duration(i)*time.Second
+		h.gateway.parts.crashed(instance, []string{"a", "d"}[i:], now-100*time.Millisecond, now)
+	}
+	if status, _, _, err := h.call("/once/x", "T-Parts", "d"); err != nil || status != 503 || server.count.Load() > 0 {
+		t.Errorf("%d %v, %d arrivals", status, err, server.count.Load())
+	}
+	if status, _, _, err := h.call("/once/x", "T-Parts", "a"); err != nil || status != 200 {
+		t.Errorf("without the part: %d %v", status, err)
+	}
+}
+
+// Guards against a generation with a held part that reaches a server because it continues
+// there.
+func TestHeldPartDoesNotContinue(t *testing.T) {
+	source := breakingServer(t, 3)
+	target := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, events(4, 6)) })
+	h := newHarness(t, locatorFunc(func(backend.Server, string) (string, string, error) {
+		return target.address, "copy", nil
+	}), source, target)
+	h.gateway.options.Dialect = partDialect{}
+	h.fleet.set(func(f *testFleet) {
+		next := *f.view
+		next.Servers = append([]backend.Server(nil), next.Servers...)
+		next.Servers[1].Leaving = true
+		f.view = &next
+	})
+	// The part is held back when the generation has begun, and its last crash is later.
+	held := heldPart("d")
+	held.LastCrash += time.Minute
+	h.publish(held)
+	x := &exchange{g: h.gateway, metadata: RequestMetadata{ID: "id-1", Parts: []string{"d"}}}
+	if _, err := x.resume(context.Background(), backend.Server{ID: "i-0", Address: source.address}, "3"); err == nil ||
+		target.count.Load() > 0 {
+		t.Errorf("resumed: %v, %d arrivals", err, target.count.Load())
+	}
+}
+
+// Guards against a memory of beginnings that grows with the number of parts.
+func TestBeginningsAreBounded(t *testing.T) {
+	h, _ := newPartHarness(t)
+	for i := range 5 * maxBeginnings {
+		h.gateway.parts.began([]string{fmt.Sprint(i)}, 0)
+	}
+	p := h.gateway.parts
+	if kept := len(p.recent) + len(p.older); kept > 2*maxBeginnings || kept < maxBeginnings {
+		t.Errorf("%d beginnings kept, want %d to %d", kept, maxBeginnings, 2*maxBeginnings)
+	}
+	if _, known := p.beginning(fmt.Sprint(5*maxBeginnings - 1)); !known {
+		t.Error("the last beginning was forgotten")
+	}
+}
