Send a restarted backend server its orders again

Cause: order.Runner.ResetLoaded had no caller, so what a server had loaded counted as loaded after its restart, and it served nothing until the agent restarted. Change: the agent's load polls report a restart (the request counter fell, or the server answers again after it was down) to the runner. Before: TestRestartedServerGetsItsOrdersAgain failed, 0 orders after 20 s; after: passes. Not seen: a restart between two polls (1 s) of a server without requests.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -52,6 +52,9 @@
 	EngineIdleTimeout time.Duration
 	// CrashReporter receives crash reports. If it is nil, reports are dropped.
 	CrashReporter CrashReporter
+	// OnRestart is called with the name of a backend server that has restarted, and has
+	// therefore lost what it had loaded. It may be nil and must not block.
+	OnRestart func(backendServer string)
 	// Connect returns a client for a backend server. If it is nil, the HTTP client
 	// is used.
 	Connect func(contract.BackendServer) engine.Backend
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -59,8 +59,10 @@
 	lastRequests int
 	// resetAt is when the counter was found to be reset. It is cleared when a crash
 	// has been decided.
-	resetAt  time.Time
-	sequence int
+	resetAt time.Time
+	// unreachable is set from a probe that found the server down to the next load report.
+	unreachable bool
+	sequence    int
 }
 
 // add records a request in flight. It returns false for a suspect while another
@@ -166,23 +168,32 @@
 	unreachable := errors.Is(err, engine.ErrUnreachable) && ctx.Err() == nil
 	d.server.setUnreachable(unreachable)
 	if err != nil {
+		d.mu.Lock()
+		d.unreachable = d.unreachable || unreachable
+		d.mu.Unlock()
 		return unreachable
 	}
 	d.server.applyEngineLoad(load)
-	return d.recordLoad(load)
+	restarted, recently := d.recordLoad(load)
+	if onRestart := d.server.agent.options.OnRestart; restarted && onRestart != nil {
+		onRestart(d.server.name)
+	}
+	return recently
 }
 
-// recordLoad records a load report. It reports whether the counters were reset
-// within counterResetWindow.
-func (d *crashDetector) recordLoad(load engine.Load) bool {
+// recordLoad records a load report. It reports whether the server has restarted since the
+// last one, and whether the counters were reset within counterResetWindow.
+func (d *crashDetector) recordLoad(load engine.Load) (restarted, resetRecently bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if load.Requests < d.lastRequests {
+	reset := load.Requests < d.lastRequests
+	if reset {
 		d.resetAt = now
 	}
-	d.lastRequests = load.Requests
-	return now.Sub(d.resetAt) < counterResetWindow
+	restarted = reset || d.unreachable
+	d.lastRequests, d.unreachable = load.Requests, false
+	return restarted, now.Sub(d.resetAt) < counterResetWindow
 }
 
 // pollLoad polls the load to detect resets of the engine's counters.
--- /dev/null
+++ b/agent/restart_test.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/contract"
+	"arbutusmast.example/arbutusmast/core/message"
+	coreorder "arbutusmast.example/arbutusmast/core/order"
+	"arbutusmast.example/arbutusmast/engine/standin"
+	"arbutusmast.example/arbutusmast/order"
+	"go.uber.org/zap"
+)
+
+// testFleet is a Fleet with a configuration that tests replace.
+type testFleet struct{ config *contract.Config }
+
+func (f *testFleet) Config() *contract.Config  { return f.config }
+func (f *testFleet) Header() message.Header    { return message.Header{} }
+func (f *testFleet) Observe(message.Header)    {}
+func (f *testFleet) Members() []message.Member { return nil }
+
+// buildTestConfig declares backend server d-1 of host h1 or h2.
+func buildTestConfig(t *testing.T, host, address string) *contract.Config {
+	t.Helper()
+	config, faults := contract.Build(1, contract.Sections{
+		"failure-domain abdali": {"region": "amman"}, "host h1": {"failure_domain": "abdali"},
+		"host h2": {"failure_domain": "abdali"}, "service drafting-llm": {},
+		"model drafting":     {"service": "drafting-llm", "versions": "v1"},
+		"route main":         {"service": "drafting-llm", "model": "drafting", "version": "v1"},
+		"backend-server d-1": {"host": host, "service": "drafting-llm", "address": address},
+	})
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return config
+}
+
+// grantingControl grants all leases and load slots.
+type grantingControl struct{}
+
+func (grantingControl) AcquireLease(context.Context, message.LeaseRequest) (message.LeaseReply, error) {
+	return message.LeaseReply{Granted: true, Fencing: 1, Duration: coreorder.LeaseDuration}, nil
+}
+
+func (g grantingControl) RenewLease(ctx context.Context, r message.LeaseRequest) (message.LeaseReply, error) {
+	return g.AcquireLease(ctx, r)
+}
+
+func (grantingControl) LoadSlot(context.Context, message.LoadSlotRequest) (message.LoadSlotReply, error) {
+	return message.LoadSlotReply{Granted: true}, nil
+}
+
+// Guards against a backend server that restarts without its models and gets no orders to load
+// them, so that it fails all requests until the agent restarts.
+func TestRestartedServerGetsItsOrdersAgain(t *testing.T) {
+	server, err := standin.Start(standin.Options{Name: "d-1", Listen: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	f := &testFleet{buildTestConfig(t, "h1", server.Address())}
+	orders := order.NewRunner(order.Options{Host: "h1", Config: f.Config, Header: f.Header, Control: grantingControl{},
+		Logger: zap.NewNop(), TickInterval: time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go orders.Run(ctx)
+	a := New(Options{Host: "h1", Fleet: f, OnRestart: orders.ResetLoaded})
+	defer a.Close()
+	waitForOrders := func(want int) {
+		t.Helper()
+		// The timeout only ends a test that hangs.
+		for end := time.Now().Add(20 * time.Second); len(server.Orders()) < want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d orders, want %d: %v", len(server.Orders()), want, server.Orders())
+			}
+		}
+	}
+	waitForOrders(2)
+	a.mu.Lock()
+	detector := a.backends["d-1"].detector
+	a.mu.Unlock()
+	detector.probe()
+	server.Close()
+	detector.probe()
+	if server, err = standin.Start(standin.Options{Name: "d-1", Listen: server.Address()}); err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	waitForOrders(2)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -166,21 +166,21 @@
 		return err
 	}
 	d.closers = append(d.closers, func() { _ = listener.Close() })
+	orders := order.NewRunner(order.Options{
+		Host: d.settings.Daemon.Host, Config: d.state.Config, Header: d.state.Header, Control: controlClient{d.state},
+		Logger: d.logger,
+	})
 	d.agent = agent.New(agent.Options{
 		Host: d.settings.Daemon.Host, Incarnation: d.incarnation, Fleet: d.state, Logger: d.logger,
 		ReplayRetention: d.settings.Agent.ReplayRetention, ReplayBytes: d.settings.Agent.ReplayBytes,
 		MaxQueue:      d.settings.Agent.MaxQueue,
-		CrashReporter: controlClient{d.state},
+		CrashReporter: controlClient{d.state}, OnRestart: orders.ResetLoaded,
 	})
 	d.heartbeatAgent.Store(d.agent)
 	d.state.HeartbeatNow(ctx)
 	go d.agent.ServeLinks(listener)
 	d.state.OnConfig(ctx, func(*contract.Config) { d.agent.Reconcile() })
 	d.state.OnMembers(ctx, func([]message.Member) { d.agent.Reconcile() })
-	orders := order.NewRunner(order.Options{
-		Host: d.settings.Daemon.Host, Config: d.state.Config, Header: d.state.Header, Control: controlClient{d.state},
-		Logger: d.logger,
-	})
 	go orders.Run(ctx)
 	return d.rpc.Register("Agent", d.agent.Service())
 }
