Refuse work at a backend server that was given to another host

Cause: Reconcile marked a server as removed only when no host had it any more, so the agent of the old host went on beside that of the new one. Before: TestServerOfAnotherHostIsLeft failed (not refused); after: passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -159,7 +159,7 @@
 		a.backends[name] = newBackendServer(a, declared, config.Services[declared.Service].Kind)
 	}
 	for name, b := range a.backends {
-		if _, ok := config.BackendServers[name]; !ok {
+		if declared, ok := config.BackendServers[name]; !ok || declared.Host != a.options.Host {
 			b.setRemoved()
 		}
 		b.setLeavingMark(hostLeaving || serverLeaving[name])
--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,9 +15,17 @@
 )
 
 // testFleet is a Fleet with a configuration that tests replace.
-type testFleet struct{ config *contract.Config }
+type testFleet struct {
+	config atomic.Pointer[contract.Config]
+}
+
+func newTestFleet(config *contract.Config) *testFleet {
+	f := &testFleet{}
+	f.config.Store(config)
+	return f
+}
 
-func (f *testFleet) Config() *contract.Config  { return f.config }
+func (f *testFleet) Config() *contract.Config  { return f.config.Load() }
 func (f *testFleet) Header() message.Header    { return message.Header{} }
 func (f *testFleet) Observe(message.Header)    {}
 func (f *testFleet) Members() []message.Member { return nil }
@@ -60,7 +69,7 @@
 		t.Fatal(err)
 	}
 	defer server.Close()
-	f := &testFleet{buildTestConfig(t, "h1", server.Address())}
+	f := newTestFleet(buildTestConfig(t, "h1", server.Address()))
 	orders := order.NewRunner(order.Options{Host: "h1", Config: f.Config, Header: f.Header, Control: grantingControl{},
 		Logger: zap.NewNop(), TickInterval: time.Millisecond})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,3 +99,24 @@
 	defer server.Close()
 	waitForOrders(2)
 }
+
+// Guards against an agent that still runs requests at a backend server which the configuration
+// has given to another host, beside the agent there.
+func TestServerOfAnotherHostIsLeft(t *testing.T) {
+	f := newTestFleet(buildTestConfig(t, "h1", "127.0.0.1:1"))
+	a := New(Options{Host: "h1", Fleet: f})
+	defer a.Close()
+	for _, move := range []struct {
+		host    string
+		refused bool
+	}{{"h1", false}, {"h2", true}, {"h1", false}} {
+		f.config.Store(buildTestConfig(t, move.host, "127.0.0.1:1"))
+		a.Reconcile()
+		a.mu.Lock()
+		_, refusal := a.findBackend("d-1")
+		a.mu.Unlock()
+		if refused := refusal != nil; refused != move.refused {
+			t.Errorf("server declared for %s: refused %v, want %v", move.host, refused, move.refused)
+		}
+	}
+}
