Send requests to the new address of a backend server

Cause: Reconcile kept the client of the first address it saw for a name. Change: another address is another server: the old one takes no new work, ends its requests, and then its goroutines stop; crash ids name the address, so that two servers of one name never share an id. TestServerAtANewAddress needs the new fields and does not compile before; by reading, only the first address would be connected. After: passes, with -race.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -81,6 +82,8 @@
 	table    *execution.Table
 	runs     map[message.ExecutionID]*run
 	backends map[string]*backendServer
+	// replaced are servers at an address that is no longer declared, while they run requests.
+	replaced []*backendServer
 	ended    []endedRun
 	links    map[net.Conn]*linkConn
 
@@ -152,12 +155,19 @@
 		if declared.Host != a.options.Host {
 			continue
 		}
-		if b, ok := a.backends[name]; ok {
+		b, ok := a.backends[name]
+		if ok && b.address == declared.Address {
 			b.configure(declared)
 			continue
 		}
+		if ok {
+			// Its requests end at the old address.
+			b.setRemoved()
+			a.replaced = append(a.replaced, b)
+		}
 		a.backends[name] = newBackendServer(a, declared, config.Services[declared.Service].Kind)
 	}
+	a.replaced = slices.DeleteFunc(a.replaced, (*backendServer).stopIfIdle)
 	for name, b := range a.backends {
 		if declared, ok := config.BackendServers[name]; !ok || declared.Host != a.options.Host {
 			b.setRemoved()
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"math/rand"
 	"sync"
 	"time"
@@ -18,8 +19,12 @@
 
 // backendServer is one backend server of this host, with its queue.
 type backendServer struct {
-	agent     *Agent
+	agent *Agent
+	// ctx ends with the agent, or when a replaced server is idle.
+	ctx       context.Context
+	stop      context.CancelFunc
 	name      string
+	address   string
 	engine    engine.Backend
 	detector  *crashDetector
 	startedAt time.Time
@@ -39,9 +44,10 @@
 
 func newBackendServer(a *Agent, declared contract.BackendServer, kind contract.ServiceKind) *backendServer {
 	b := &backendServer{
-		agent: a, name: declared.Name, engine: a.options.Connect(declared), declared: declared, startedAt: time.Now(),
-		plain: kind == contract.KindPlain, runs: map[message.ExecutionID]*run{},
+		agent: a, name: declared.Name, address: declared.Address, engine: a.options.Connect(declared), declared: declared,
+		startedAt: time.Now(), plain: kind == contract.KindPlain, runs: map[message.ExecutionID]*run{},
 	}
+	b.ctx, b.stop = context.WithCancel(a.ctx)
 	config := admission.Config{
 		TotalBlocks: declared.MemoryBlocks, BlockTokens: declared.BlockTokens, MaxBatch: declared.MaxBatch,
 		MaxWaiting: a.options.MaxQueue,
@@ -50,7 +56,7 @@
 	// agents are not synchronized.
 	b.admission = admission.New(config, rand.New(rand.NewSource(int64(a.options.Incarnation)+int64(len(declared.Name)))))
 	b.detector = &crashDetector{server: b, inFlight: map[*inFlightRequest]struct{}{}}
-	a.spawn(func() { b.detector.pollLoad(a.ctx) })
+	a.spawn(func() { b.detector.pollLoad(b.ctx) })
 	if !b.plain {
 		a.spawn(b.tickLoop)
 	}
@@ -72,6 +78,18 @@
 	b.mu.Unlock()
 }
 
+// stopIfIdle stops the goroutines of the server if it runs no requests, and reports whether
+// it did.
+func (b *backendServer) stopIfIdle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.runs) > 0 || b.calls > 0 {
+		return false
+	}
+	b.stop()
+	return true
+}
+
 // setLeavingMark applies the leaving mark of the membership.
 func (b *backendServer) setLeavingMark(leaving bool) {
 	b.mu.Lock()
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -153,7 +153,7 @@
 		zap.String("backend_server", d.server.name), zap.Strings("digests", digests))
 	a.reportCrash(message.CrashReport{
 		BackendServer: d.server.name, InFlight: digests,
-		Crash: fmt.Sprintf("%s~%x~%d", d.server.name, uint64(a.options.Incarnation), sequence),
+		Crash: fmt.Sprintf("%s~%s~%x~%d", d.server.name, d.server.address, uint64(a.options.Incarnation), sequence),
 	})
 }
 
--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"arbutusmast.example/arbutusmast/core/contract"
 	"arbutusmast.example/arbutusmast/core/message"
 	coreorder "arbutusmast.example/arbutusmast/core/order"
+	"arbutusmast.example/arbutusmast/engine"
 	"arbutusmast.example/arbutusmast/engine/standin"
 	"arbutusmast.example/arbutusmast/order"
 	"go.uber.org/zap"
@@ -120,3 +122,49 @@
 		}
 	}
 }
+
+// Guards against an agent that goes on sending requests to the previous address of a backend
+// server, and one that keeps polling each address it ever had.
+func TestServerAtANewAddress(t *testing.T) {
+	addresses := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+	f := newTestFleet(buildTestConfig(t, "h1", addresses[0]))
+	var connected []string
+	a := New(Options{Host: "h1", Fleet: f, Connect: func(s contract.BackendServer) engine.Backend {
+		connected = append(connected, s.Address)
+		return engine.NewClient(s.Address)
+	}})
+	defer a.Close()
+	var previous []*backendServer
+	for _, address := range addresses[1:] {
+		a.mu.Lock()
+		b := a.backends["d-1"]
+		a.mu.Unlock()
+		previous = append(previous, b)
+		// The first one has a request when its address changes.
+		b.mu.Lock()
+		b.runs[message.ExecutionID{}] = nil
+		b.mu.Unlock()
+		f.config.Store(buildTestConfig(t, "h1", address))
+		a.Reconcile()
+	}
+	if !slices.Equal(connected, addresses) {
+		t.Errorf("connected to %v, want %v", connected, addresses)
+	}
+	for _, b := range previous {
+		if !b.leaving() || b.ctx.Err() != nil {
+			t.Errorf("%s runs a request: leaving %v, stopped %v", b.address, b.leaving(), b.ctx.Err() != nil)
+		}
+		b.mu.Lock()
+		clear(b.runs)
+		b.mu.Unlock()
+	}
+	a.Reconcile()
+	for _, b := range previous {
+		if b.ctx.Err() == nil {
+			t.Errorf("%s is idle and still polled", b.address)
+		}
+	}
+	if len(a.replaced) > 0 {
+		t.Errorf("%d replaced servers are kept", len(a.replaced))
+	}
+}
--- a/agent/schedule.go
+++ b/agent/schedule.go
@@ -216,7 +216,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-b.agent.ctx.Done():
+		case <-b.ctx.Done():
 			return
 		case <-ticker.C:
 			b.mu.Lock()
