Forget refusals of moves after their backoff

Cause: refusedAt held each address that ever refused a copy; a replaced server has a new one. Before: TestRefusalsAreForgotten found 1001 entries; after: 1.

--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -196,6 +196,11 @@
 			delete(a.moves, id)
 		}
 	}
+	for address, refusedAt := range a.refusedAt {
+		if now.Sub(refusedAt) >= refusalBackoff {
+			delete(a.refusedAt, address)
+		}
+	}
 	var candidates []evacuation.Generation
 	present := map[string]bool{}
 	for _, generation := range s.Generations {
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -180,3 +181,22 @@
 		t.Errorf("all servers with limits: %v", got)
 	}
 }
+
+// Guards against an agent that remembers each destination that ever refused a copy, under
+// addresses that the platform never uses again.
+func TestRefusalsAreForgotten(t *testing.T) {
+	a, _ := newAgent(t, &testEngine{copied: map[string]int{}})
+	now := time.Now()
+	a.mu.Lock()
+	for i := range 1000 {
+		a.refusedAt[strconv.Itoa(i)] = now.Add(-refusalBackoff)
+	}
+	a.refusedAt["near"] = now.Add(time.Hour)
+	a.mu.Unlock()
+	a.planMoves(context.Background(), Status{})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.refusedAt) != 1 {
+		t.Errorf("%d refusals are remembered, want the one that still counts", len(a.refusedAt))
+	}
+}
