Forget joins of former control members

Cause: the leader kept the nonce of each join it ever granted. Before, by reading, 1000 joins left 1000 entries (the test needs the new function); after, the joins of present members only.

--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"arbutusmast.example/arbutusmast/control"
@@ -186,11 +188,20 @@
 	if err != nil {
 		return err
 	}
-	c.mu.Lock()
-	c.nonces[request.Nonce] = id
-	c.mu.Unlock()
+	c.rememberJoin(request.Nonce, id, node.Members())
 	c.options.Logger.Info("added a control member",
 		zap.Uint64("member", uint64(id)), zap.String("address", request.Address))
 	reply.ID = id
 	return nil
 }
+
+// rememberJoin remembers the id that a join request got, and forgets those of members that
+// are gone.
+func (c *Control) rememberJoin(nonce string, id consensus.MemberID, members []consensus.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.nonces, func(_ string, known consensus.MemberID) bool {
+		return !slices.ContainsFunc(members, func(m consensus.Member) bool { return m.ID == known })
+	})
+	c.nonces[nonce] = id
+}
