Answer requests on open connections while an entry of an INI deployment stops

Cause: Drain called SetKeepAlivesEnabled(false), upon which net/http closes idle connections at once, with or without a request on its way to them. Ruled out: the listener (it stays open until the drain ends). Change: connections stay open during the drain and end with their next response. Remains: a request that arrives at the very end of the drain, with no other request in progress, can still meet a closed connection.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -205,8 +205,16 @@
 	return nil
 }
 
+// serveHTTP serves HTTP until the daemon has drained. A response during the drain ends its
+// connection. Idle connections stay open until then, because a request may be on its way.
 func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{ReadHeaderTimeout: readHeaderTimeout,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if d.draining.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			handler.ServeHTTP(w, r)
+		})}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -255,9 +263,6 @@
 // new executions after drainDelay.
 func (d *Daemon) drainEntry(ctx context.Context) error {
 	d.entry.StartDraining()
-	for _, s := range d.servers {
-		s.SetKeepAlivesEnabled(false)
-	}
 	select {
 	case <-time.After(drainDelay):
 	case <-ctx.Done():
