Test stalled and slow streams of INI deployments

The agent's idle timer counts events, so comments do not keep a stalled generation alive: it is resumed, or ends at request_timeout; a slow sound stream is not cut. TestStalledAndSlowStreams shows all three; it passed at once, nothing was changed. The stand-in engine learns to send comments and to stay silent after a resume.

--- a/engine/standin/batch.go
+++ b/engine/standin/batch.go
@@ -32,6 +32,8 @@
 	// stallAt is the index of the token at which the sequence stalls: it generates
 	// neither that token nor later ones. Zero means that it does not stall.
 	stallAt uint64
+	// comments is set if the stream sends comments between its events.
+	comments bool
 	// arrival orders sequences of the same priority by age.
 	arrival     uint64
 	running     bool
--- a/engine/standin/generate.go
+++ b/engine/standin/generate.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"time"
 
 	"arbutusmast.example/arbutusmast/engine"
 )
@@ -22,6 +23,8 @@
 //	[crash]       the engine crashes when it starts this request
 //	[crash-at=N]  the engine crashes after N tokens
 //	[silent=N]    the stream delivers no more events after N tokens
+//	[stuck]       a silent stream stays so when it is resumed
+//	[comments]    the stream sends a comment, which is no event, every 20 ms
 //	[trace]       each token is "<generation>:<index> ", which shows whether a
 //	              stream mixes generations
 var (
@@ -36,6 +39,7 @@
 	medianTokens    = 60
 	lengthSigma     = 1.2
 	maxRandomTokens = 32768
+	commentInterval = 20 * time.Millisecond
 )
 
 // generateRequest holds the fields of a request that the engine uses.
@@ -77,7 +81,8 @@
 	q := &sequence{
 		id: r.RequestID, generation: r.Generation, priority: r.Priority, nextIndex: r.ResumeFrom,
 		promptTokens: len(strings.Fields(r.text())), trace: strings.Contains(r.text(), "[trace]"),
-		events: make(chan engine.Event, maxBufferedTokens), removed: make(chan struct{}),
+		comments: strings.Contains(r.text(), "[comments]"),
+		events:   make(chan engine.Event, maxBufferedTokens), removed: make(chan struct{}),
 	}
 	if q.generation == "" {
 		q.generation = newGenerationID()
@@ -85,7 +90,7 @@
 	if q.id == "" {
 		q.id = q.generation
 	}
-	if r.ResumeFrom == 0 {
+	if r.ResumeFrom == 0 || strings.Contains(r.text(), "[stuck]") {
 		q.stallAt = markerValue(stallMarker, r.text())
 	}
 	q.targetTokens = markerValue(tokensMarker, r.text())
@@ -153,8 +158,17 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flusher.Flush()
+	var commentDue <-chan time.Time
+	if q.comments {
+		ticker := time.NewTicker(commentInterval)
+		defer ticker.Stop()
+		commentDue = ticker.C
+	}
 	for {
 		select {
+		case <-commentDue:
+			_, _ = io.WriteString(w, ": still here\n\n")
+			flusher.Flush()
 		case e := <-q.events:
 			if crashAt > 0 && e.Index >= crashAt {
 				go s.Crash()
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -8,7 +8,11 @@
 	"testing"
 	"time"
 
+	"arbutusmast.example/arbutusmast/agent"
 	"arbutusmast.example/arbutusmast/core/contract"
+	"arbutusmast.example/arbutusmast/core/verdict"
+	"arbutusmast.example/arbutusmast/engine/standin"
+	"arbutusmast.example/arbutusmast/entry"
 )
 
 // newSlowServiceCluster returns a test cluster whose plain service has a timeout of
@@ -94,3 +98,37 @@
 	}
 	lost.Wait()
 }
+
+// Guards against a stalled generation that occupies its backend server without end because
+// bytes that are no events arrive, and against a slow but sound one that is cut.
+func TestStalledAndSlowStreams(t *testing.T) {
+	for _, c := range []struct {
+		name, prompt  string
+		tokenInterval time.Duration
+		complete      bool
+	}{
+		{"stalled, goes on when it is resumed", "[tokens=20] [silent=5] [comments]", time.Millisecond, true},
+		{"stalled for good", "[tokens=20] [silent=5] [comments] [stuck]", time.Millisecond, false},
+		{"slow but sound", "[tokens=20] [comments]", 150 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			const requestTimeout = 6 * time.Second
+			tc := newTestCluster(t, clusterOptions{standin: standin.Options{TokenInterval: c.tokenInterval},
+				agent: agent.Options{EngineIdleTimeout: 300 * time.Millisecond},
+				entry: entry.Options{RequestTimeout: requestTimeout}})
+			start := time.Now()
+			r := tc.stream(0, c.prompt).read(0)
+			if r.done != c.complete || c.complete && len(r.tokens) != 20 || !c.complete && len(r.tokens) != 5 {
+				t.Errorf("complete %v, %d tokens, code %q", r.done, len(r.tokens), r.code)
+			}
+			if took := time.Since(start); !c.complete && (took > requestTimeout+3*time.Second || r.code != string(verdict.ReasonDeadline)) {
+				t.Errorf("ended after %v with code %q, want the deadline of %v", took, r.code, requestTimeout)
+			}
+			eventually(t, "the engine is free", func() bool { return runningCount(tc) == 0 })
+			if next := tc.stream(0, "[tokens=3]").read(0); !next.done {
+				t.Errorf("the next request was not served: code %q", next.code)
+			}
+		})
+	}
+}
