Read a settings file again that was being written

Cause: the modification time was remembered before the file was known to be sound, so the rest of a file that came within the same tick of the clock stayed unread. Change: a broken file is read again each second, with one log line for each new error, and the size counts as well as the time. Before: TestSettingsFileBeingWritten failed (first seeds after 20 s); after: passes.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -108,7 +108,8 @@
 	signal.Notify(sighups, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	lastModified := time.Time{}
+	var lastRead os.FileInfo
+	lastError := ""
 	for {
 		signaled := false
 		select {
@@ -119,16 +120,22 @@
 		case <-ticker.C:
 		}
 		info, err := os.Stat(d.path)
-		if err != nil || !signaled && info.ModTime().Equal(lastModified) {
+		if err != nil || !signaled && lastRead != nil && info.ModTime().Equal(lastRead.ModTime()) &&
+			info.Size() == lastRead.Size() {
 			continue
 		}
-		firstRead := lastModified.IsZero()
-		lastModified = info.ModTime()
 		s, err := platform.LoadSettings(d.path)
 		if err != nil {
-			d.logger.Warn("cannot reload settings, keeping the previous ones", zap.Error(err))
+			// The file is read again, because it may be half written, and the rest may come
+			// without another modification time.
+			if signaled || err.Error() != lastError {
+				d.logger.Warn("cannot reload settings, keeping the previous ones", zap.Error(err))
+			}
+			lastError = err.Error()
 			continue
 		}
+		firstRead := lastRead == nil && lastError == ""
+		lastRead, lastError = info, ""
 		d.settings.Store(s)
 		if signaled || !firstRead {
 			d.logger.Info("settings reloaded", zap.Bool("signaled", signaled), zap.Strings("seeds", s.Seeds))
