End a token link whose queue is full

Cause: enqueue and subscribe ignored that a queue took nothing, so the entry waited for a frame that never came.

--- a/agent/link.go
+++ b/agent/link.go
@@ -43,7 +43,9 @@
 	if s.closed.Load() || !s.queued.CompareAndSwap(false, true) {
 		return
 	}
-	s.conn.ready.TryPush(s)
+	if !s.conn.ready.TryPush(s) {
+		s.conn.abort()
+	}
 }
 
 // linkConn is the connection of one token link from an entry.
@@ -83,6 +85,18 @@
 	}
 }
 
+// reply sends the end of a stream that has no subscription.
+func (c *linkConn) reply(end *message.End) {
+	if !c.replies.TryPush(&message.Frame{End: end}) {
+		c.abort()
+	}
+}
+
+// abort closes the connection, so that the entry resumes its streams on another one. It is
+// used when a frame can not be queued, for which the entry would wait. The caller may hold
+// any lock: readLoop ends the subscriptions.
+func (c *linkConn) abort() { _ = c.conn.Close() }
+
 // close closes the connection and ends its subscriptions.
 func (c *linkConn) close() {
 	c.closeOnce.Do(func() {
@@ -140,7 +154,7 @@
 		}
 		end.Refusal = message.Refusal{Verdict: end.Verdict, Reason: verdict.ReasonStreamLost,
 			Message: "the agent does not hold this answer"}
-		c.replies.TryPush(&message.Frame{End: &end})
+		c.reply(&end)
 		return
 	}
 	s := &subscription{conn: c, run: r, nextIndex: request.From}
@@ -148,8 +162,8 @@
 	c.mu.Lock()
 	if c.subscriptions == nil || len(c.subscriptions) >= maxLinkStreams {
 		c.mu.Unlock()
-		c.replies.TryPush(&message.Frame{End: &message.End{Execution: request.Execution, Started: true,
-			Refusal: message.Refusal{Reason: verdict.ReasonOverloaded, Message: "the link has too many streams"}}})
+		c.reply(&message.End{Execution: request.Execution, Started: true,
+			Refusal: message.Refusal{Reason: verdict.ReasonOverloaded, Message: "the link has too many streams"}})
 		return
 	}
 	if previous, exists := c.subscriptions[request.Execution]; exists {
