--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -310,3 +310,29 @@
 		t.Error("the margin did not grow after preemptions of the engine")
 	}
 }
+
+// TestIdleTeamsAreRemoved guards against a server that remembers every caller it ever had,
+// while the callers with requests keep theirs.
+func TestIdleTeamsAreRemoved(t *testing.T) {
+	const busy, callers = 20, 20 * idleRemovalThreshold
+	c := New(Config{TotalBlocks: 1 << 20, BlockTokens: 16, MaxBatch: 64}, rand.New(rand.NewSource(1)))
+	enqueue := func(name string) {
+		c.Enqueue(0, Request{ID: id(name), Caller: name, PromptTokens: 10, MaxTokens: 10})
+	}
+	for i := range busy {
+		enqueue(fmt.Sprint("busy-", i))
+	}
+	for i := range callers {
+		name := fmt.Sprint("idle-", i)
+		enqueue(name)
+		c.Finished(0, id(name))
+		if n := len(c.queue.teams); n > idleRemovalThreshold {
+			t.Fatalf("%d teams after %d callers with %d of them busy, want at most %d", n, busy+i+1, busy, idleRemovalThreshold)
+		}
+	}
+	for i := range busy {
+		if c.queue.teams[fmt.Sprint("busy-", i)] == nil {
+			t.Fatalf("the team of busy caller %d is gone", i)
+		}
+	}
+}
