Give each backend server of an agent random choices of its own

Cause: the seed was the incarnation plus the length of the name. Before, by reading, d-1 and d-2 had the same (the test needs the new function); after: 8 of 8 differ.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"math/rand"
 	"sync"
 	"time"
@@ -52,9 +53,7 @@
 		TotalBlocks: declared.MemoryBlocks, BlockTokens: declared.BlockTokens, MaxBatch: declared.MaxBatch,
 		MaxWaiting: a.options.MaxQueue,
 	}
-	// The seed depends on the incarnation, so that the random choices of different
-	// agents are not synchronized.
-	b.admission = admission.New(config, rand.New(rand.NewSource(int64(a.options.Incarnation)+int64(len(declared.Name)))))
+	b.admission = admission.New(config, rand.New(rand.NewSource(randomSeed(a.options.Incarnation, declared.Name))))
 	b.detector = &crashDetector{server: b, inFlight: map[*inFlightRequest]struct{}{}}
 	a.spawn(func() { b.detector.pollLoad(b.ctx) })
 	if !b.plain {
@@ -63,6 +62,14 @@
 	return b
 }
 
+// randomSeed differs between agents and between their servers, so that their random choices
+// are not synchronized.
+func randomSeed(incarnation message.Incarnation, server string) int64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(server))
+	return int64(uint64(incarnation) ^ hash.Sum64())
+}
+
 // configure applies a changed declaration.
 func (b *backendServer) configure(declared contract.BackendServer) {
 	b.mu.Lock()
--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -168,3 +169,18 @@
 		t.Errorf("%d replaced servers are kept", len(a.replaced))
 	}
 }
+
+// Guards against backend servers of one agent that make the same random choices, such as the
+// delays that they ask refused callers for.
+func TestServersHaveSeedsOfTheirOwn(t *testing.T) {
+	seen := map[int64]string{}
+	for _, incarnation := range []message.Incarnation{1, 2} {
+		for _, name := range []string{"d-1", "d-2", "e-1", "d-10"} {
+			key, seed := fmt.Sprint(incarnation, " ", name), randomSeed(incarnation, name)
+			if other, taken := seen[seed]; taken {
+				t.Errorf("%s has the seed of %s", key, other)
+			}
+			seen[seed] = key
+		}
+	}
+}
