Remove state that nothing reads

View.compressed held each entry's compressed document for good, service.slots was computed on every change, and ReadReply.Version was never set.

--- a/fleet/message.go
+++ b/fleet/message.go
@@ -87,10 +87,7 @@
 type ReadRequest struct{}
 
 // ReadReply holds the newest document in compressed form.
-type ReadReply struct {
-	Version  uint64
-	Document []byte
-}
+type ReadReply struct{ Document []byte }
 
 // JoinRequest asks to become a member. Nonce is generated once per join, so that a repeated
 // request gets the same id.
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -57,7 +57,6 @@
 	Parts []quarantine.PartStatus
 
 	listStamp, limitsStamp, partsStamp Stamp
-	compressed                         []byte
 	// quarantined are the quarantine entries, with remaining times as of quarantinedAt.
 	quarantined   []message.Quarantine
 	quarantinedAt time.Duration
@@ -317,7 +316,7 @@
 		if err != nil {
 			return err
 		}
-		next.Table, next.Version, next.compressed = table, reply.Version, reply.Document
+		next.Table, next.Version = table, reply.Version
 		changed = true
 		w.options.Logger.Info("desired state put in force", zap.Uint64("revision", reply.Version),
 			zap.Uint64("previous_revision", old.Version), zap.Int("routes", len(table.State.Routes)))
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -53,7 +53,6 @@
 type service struct {
 	placement   *placement.Balancer
 	retryBudget *retry.Budget
-	slots       int
 }
 
 func (s *serviceSet) init(options *Options, notices *noticeBoard) {
@@ -100,12 +99,6 @@
 	for name, list := range lists {
 		svc := s.get(name)
 		svc.placement.SetServers(now, list)
-		svc.slots = 0
-		for _, server := range list {
-			if !server.Leaving {
-				svc.slots += s.servers[server.Name].Slots
-			}
-		}
 	}
 	for _, server := range v.Servers {
 		report, ok := v.Reports[server.Address]
