Say why a new control member did not become a voter

Cause: members replace dropped the errors of its polls. Before: exit code 1 without a cause (TestCommands, "replace while the quorum is lost"); after: the last error, and exit code 4 for a lost quorum.

--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -275,6 +275,7 @@
 func (inv *invocation) waitForVoter(ctx context.Context, client *controlClient, id uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, inv.fleet.wait)
 	defer cancel()
+	var lastErr error
 	for {
 		group, err := inv.currentMembers(ctx, client)
 		for _, m := range group {
@@ -282,9 +283,16 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, memberPollInterval) {
-			return errors.Errorf("member %d did not become a voter within %v", id, inv.fleet.wait)
+		if ctx.Err() == nil {
+			lastErr = err
 		}
+		if sleep(ctx, memberPollInterval) {
+			continue
+		}
+		if lastErr != nil {
+			return errors.Wrapf(lastErr, "member %d did not become a voter within %v", id, inv.fleet.wait)
+		}
+		return errors.Errorf("member %d did not become a voter within %v", id, inv.fleet.wait)
 	}
 }
 
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -44,6 +44,8 @@
 	group       []message.ControlMember
 	groupSize   int // number of members, 2 if zero
 	leaving     []string
+	// losesQuorum is set if the group has no quorum after a member was added.
+	losesQuorum bool
 }
 
 func (s *fakeControl) Status(_ *message.StatusRequest, r *message.StatusReply) error {
@@ -99,7 +101,7 @@
 	defer s.mu.Unlock()
 	// A learner becomes a voter after the first reply that lists it, if the group has
 	// fewer than maxVoters voters.
-	r.Current, r.Group = true, append([]message.ControlMember{}, s.group...)
+	r.Current, r.Group = !s.losesQuorum || len(s.group) <= 2, append([]message.ControlMember{}, s.group...)
 	for i := range s.group {
 		s.group[i].Voter = i < maxVoters
 	}
@@ -235,6 +237,8 @@
 			"1       127.0.0.1:1  voter  0          0s\n3 "},
 		{"replace in a full group", "members replace 2 6 127.0.0.1:6 -wait 2s" + keyFlag, &fakeControl{groupSize: 5}, 0,
 			"6       127.0.0.1:6  voter"},
+		{"replace while the quorum is lost", "members replace 2 3 127.0.0.1:3 -wait 300ms" + keyFlag,
+			&fakeControl{losesQuorum: true}, 4, "cannot confirm the members with a quorum"},
 		{"replace under the same id", "members replace 2 2 127.0.0.1:3" + keyFlag, &fakeControl{}, 2, "id of its own"},
 		{"measure", "measure policy a -seed 3", &fakeControl{}, 0, "ran a -seed 3"},
 		{"measure list", "measure", &fakeControl{}, 0, "policy table"},
