--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,14 +97,24 @@
 	return g
 }
 
+// nextPort is the port that was tried last. Ports are below the range that the kernel uses
+// for outgoing connections, so that a chosen port stays free until a member listens on it.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(27000 + int32(os.Getpid()%50)*100) }
+
 // freeAddress returns an unused loopback address.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	t.Helper()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // start starts a member with the data folder of its previous start, or with an empty
