--- a/measure/capacity/capacity.go
+++ b/measure/capacity/capacity.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -71,23 +72,26 @@
 		return err
 	}
 	// A failed measurement does not suppress the report of the others.
-	var measureErr error
+	var failures []string
 	for _, m := range measurements {
 		if err := m.measure(b); err != nil {
-			measureErr = errors.Wrapf(err, "measure %s", m.name)
-			b.report.Missing = append(b.report.Missing, measureErr.Error())
+			failures = append(failures, fmt.Sprintf("measure %s: %v", m.name, err))
 		}
 		if err := ctx.Err(); err != nil {
 			return err
 		}
 	}
 	r := b.report
+	r.Missing = append(r.Missing, failures...)
 	r.Seconds = time.Since(r.Started).Seconds()
 	r.Lines = Derive(r.Scale, r.Slopes)
 	if err := r.write(w, o.JSON); err != nil {
 		return err
 	}
-	return measureErr
+	if len(failures) > 0 {
+		return errors.New(strings.Join(failures, "; "))
+	}
+	return nil
 }
 
 func (r *Report) write(w io.Writer, asJSON bool) error {
--- a/measure/capacity/capacity_test.go
+++ b/measure/capacity/capacity_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"encoding/json"
 	"math"
+	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 // slopeNames lists the slopes that a run must report.
@@ -55,6 +58,21 @@
 	}
 }
 
+// TestAllFailuresAreReturned guards against a run that names only the last of several
+// measurements that failed.
+func TestAllFailuresAreReturned(t *testing.T) {
+	defer func(all []measurement) { measurements = all }(measurements)
+	fail := func(*bench) error { return errors.New("no leader") }
+	measurements = []measurement{{"first", fail}, {"sound", func(*bench) error { return nil }}, {"last", fail}}
+	var out bytes.Buffer
+	err := Run(context.Background(), &out, Options{Quick: true})
+	for _, want := range []string{"measure first: no leader", "measure last: no leader"} {
+		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(out.String(), want) {
+			t.Errorf("error %v and the report do not both hold %q", err, want)
+		}
+	}
+}
+
 // TestNewSlope guards against a wrong fit, which would make all derived costs wrong.
 func TestNewSlope(t *testing.T) {
 	tests := []struct {
