Do not repeat verdict and reason in the text of an error at each daemon

Cause: Encode wrote Error(), which ends with reason and verdict, as the message, so callers read "7 wait (overloaded, not_run)" and logs had it twice.

--- a/core/verdict/text.go
+++ b/core/verdict/text.go
@@ -13,7 +13,11 @@
 // overloaded 1s message". Decode reverses it.
 func Encode(err error) string {
 	e := From(err)
-	return strings.Join([]string{"verdict", e.Verdict.String(), string(e.Reason), e.RetryAfter.String(), e.Error()}, " ")
+	text := e.Message
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	return strings.Join([]string{"verdict", e.Verdict.String(), string(e.Reason), e.RetryAfter.String(), text}, " ")
 }
 
 // Decode returns the Error that a text encodes. If the text encodes none, ok is
