--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -54,9 +54,3 @@
 	b.retries[0]++
 	return true
 }
-
-// Remaining returns the number of retries that the budget allows now.
-func (b *Budget) Remaining(now time.Duration) float64 {
-	b.advance(now)
-	return b.ratio*(b.requests[0]+b.requests[1]) + b.slack - b.retries[0] - b.retries[1]
-}
