Review case 1: a front machine that stops takes requests that it cuts off

The cases of long bodies, of crashing requests on replicas that keep their ids, of the first start and of invalid desired states become 2 to 5.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Plays the case. Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review/cases ] || { echo "run review/build.sh first"; exit 2; }
-exec ../../target/review/cases firststart
+exec ../../target/review/cases poison
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -17,7 +17,7 @@
 
 // cases are the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(p *platform, trouble bool) (bool, error){
-	"poison": playPoison, "query": playPoisonQuery, "firststart": playFirstStart, "invalid": playInvalid, "memory": playMemory,
+	"poison": playPoison, "query": playPoisonQuery, "firststart": playFirstStart, "invalid": playInvalid, "stop": playStop, "memory": playMemory,
 }
 
 func main() {
--- a/review/tools/seeds.go
+++ b/review/tools/seeds.go
@@ -10,7 +10,7 @@
 const (
 	// removedAfter is the time from the first start to the loss of a machine, and successorAfter
 	// the time until an empty one is added.
-	removedAfter   = 150 * time.Millisecond
+	removedAfter   = 100 * time.Millisecond
 	successorAfter = time.Second
 	// observed is the time for which orders and requests are sent after the core is stable.
 	observed = 45 * time.Second
