--- a/review/tools/invalid.go
+++ b/review/tools/invalid.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -58,14 +59,14 @@
 	}
 	valid := route("a", "desk.example", `"service":"desk"`)
 	if !p.putUntilAcked(core, twoServices(1, valid), 15*time.Second) {
-		return false, fmt.Errorf("%w: the first desired state was not acknowledged", errNotRun)
+		return false, errors.New("the first desired state was not acknowledged")
 	}
 	front := core[0]
 	if _, err := p.start(front, "entry", true); err != nil {
 		return false, err
 	}
 	if !p.waitReady(front, 15*time.Second) {
-		return false, fmt.Errorf("%w: %s did not become ready", errNotRun, front.name)
+		return false, fmt.Errorf("%s did not become ready", front.name)
 	}
 	time.Sleep(contactWindow)
 	version, acked, wrong := 1, 0, 0
@@ -75,7 +76,7 @@
 		}
 		version++
 		if !p.putUntilAcked(core, twoServices(version, valid), 15*time.Second) {
-			return false, fmt.Errorf("%w: valid version %d was not acknowledged", errNotRun, version)
+			return false, fmt.Errorf("valid version %d was not acknowledged", version)
 		}
 		version++
 		status, text := p.put(core[version%len(core)], twoServices(version, s.routes))
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 )
@@ -43,11 +42,8 @@
 	defer p.stop()
 	wasBroken, err := cases[name](p, trouble)
 	switch {
-	case err != nil && !errors.Is(err, errNotRun):
-		record.say("could not run: %v", err)
-		return couldNotRun
 	case err != nil:
-		record.say("%v", err)
+		record.say("could not run: %v", err)
 		return couldNotRun
 	case wasBroken:
 		record.say("BROKEN")
--- a/review/tools/memory.go
+++ b/review/tools/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -106,7 +107,7 @@
 	}
 	state := strings.NewReplacer(`"timeout-ms":800`, `"timeout-ms":6000`, `"kind":"unsafe"`, `"kind":"streaming"`).Replace(plainState(1))
 	if !p.putUntilAcked(core, state, 15*time.Second) {
-		return false, fmt.Errorf("%w: the first desired state was not acknowledged", errNotRun)
+		return false, errors.New("the first desired state was not acknowledged")
 	}
 	users := usualUsers
 	if trouble {
@@ -122,7 +123,7 @@
 	}
 	for _, g := range guards {
 		if !p.waitReady(g.m, 15*time.Second) {
-			return false, fmt.Errorf("%w: %s did not become ready", errNotRun, g.m.name)
+			return false, fmt.Errorf("%s did not become ready", g.m.name)
 		}
 	}
 	time.Sleep(contactWindow)
--- a/review/tools/platform.go
+++ b/review/tools/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -45,10 +46,8 @@
 	zones                map[string]string
 	record               *recorder
 
-	mu       sync.Mutex
-	replicas []*replica
-	// rawList replaces the list if it is not nil.
-	rawList   func() []byte
+	mu        sync.Mutex
+	replicas  []*replica
 	processes []*process
 	list      *http.Server
 }
@@ -72,7 +71,7 @@
 	base := 20000 + pid%20000
 	for ; ; base++ {
 		if base > 60000 {
-			return nil, fmt.Errorf("no free ports")
+			return nil, errors.New("no free ports")
 		}
 		p.ports = ports{front: base, ready: base + 1, control: base + 2, list: base + 3, app: base + 4, internal: base + 10}
 		if p.portsFree() {
@@ -118,10 +117,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	if p.rawList != nil {
-		_, _ = w.Write(p.rawList())
-		return
-	}
 	zone := r.URL.Query().Get("zone")
 	entries := []any{}
 	for _, replica := range p.replicas {
@@ -172,7 +167,7 @@
 	before, rest, found := strings.Cut(text, "{{#zones}}")
 	section, after, closed := strings.Cut(rest, "{{/zones}}")
 	if !found || !closed {
-		return "", fmt.Errorf("deploy/settings.ini has no section of zones")
+		return "", errors.New("deploy/settings.ini has no section of zones")
 	}
 	zones := ""
 	for zone, region := range p.zones {
--- a/review/tools/poison.go
+++ b/review/tools/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net/http"
@@ -115,7 +116,7 @@
 		r.run = c.run
 	}
 	if !p.putUntilAcked(core, plainState(1), 15*time.Second) {
-		return nil, fmt.Errorf("%w: the first desired state was not acknowledged", errNotRun)
+		return nil, errors.New("the first desired state was not acknowledged")
 	}
 	for _, m := range core {
 		if _, err := p.start(m, "entry", true); err != nil {
@@ -124,7 +125,7 @@
 	}
 	for _, m := range core {
 		if !p.waitReady(m, 15*time.Second) {
-			return nil, fmt.Errorf("%w: %s did not become ready", errNotRun, m.name)
+			return nil, fmt.Errorf("%s did not become ready", m.name)
 		}
 	}
 	time.Sleep(contactWindow)
--- a/review/tools/record.go
+++ b/review/tools/record.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -35,6 +34,3 @@
 	r.note("result", format, args...)
 	fmt.Printf(format+"\n", args...)
 }
-
-// caseFolder returns the folder of a case beside the tools.
-func caseFolder(name string) string { return filepath.Join("review", name) }
--- a/review/tools/replica.go
+++ b/review/tools/replica.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -203,5 +202,3 @@
 	text, err := io.ReadAll(response.Body)
 	return answer{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
-
-var errNotRun = errors.New("the case could not run")
--- a/review/tools/stop.go
+++ b/review/tools/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -84,7 +85,7 @@
 	}
 	state := strings.Replace(plainState(1), `"timeout-ms":800`, fmt.Sprintf(`"timeout-ms":%d`, slowTimeout.Milliseconds()), 1)
 	if !p.putUntilAcked(core, state, 15*time.Second) {
-		return false, fmt.Errorf("%w: the first desired state was not acknowledged", errNotRun)
+		return false, errors.New("the first desired state was not acknowledged")
 	}
 	front := core[0]
 	entry, err := p.start(front, "entry", true)
@@ -92,7 +93,7 @@
 		return false, err
 	}
 	if !p.waitReady(front, 15*time.Second) {
-		return false, fmt.Errorf("%w: %s did not become ready", errNotRun, front.name)
+		return false, fmt.Errorf("%s did not become ready", front.name)
 	}
 	time.Sleep(contactWindow)
 	var channels []*keptChannel
@@ -104,7 +105,7 @@
 		defer func() { _ = conn.Close() }()
 		c := &keptChannel{conn: conn, in: bufio.NewReader(conn)}
 		if a := c.send(fmt.Sprintf("first%d", i), "quick"); a.err != nil || a.status != http.StatusOK {
-			return false, fmt.Errorf("%w: first request: %s", errNotRun, a.text())
+			return false, fmt.Errorf("first request: %s", a.text())
 		}
 		channels = append(channels, c)
 	}
