--- a/review/tools/memory.go
+++ b/review/tools/memory.go
@@ -18,9 +18,9 @@
 	// bodyBytes is max-body-bytes, which consumers may send.
 	bodyBytes = 4194304
 	// usualUsers is the number of consumers that send at once at each front machine, and
-	// burstUsers that during a burst, 1.67 times as many.
-	usualUsers   = 12
-	burstUsers   = 20
+	// burstUsers that during a burst, 1.69 times as many.
+	usualUsers   = 13
+	burstUsers   = 22
 	waves        = 9
 	wavePause    = 4 * time.Second
 	restartDelay = 500 * time.Millisecond
