--- a/review/tools/firststart.go
+++ b/review/tools/firststart.go
@@ -80,8 +80,8 @@
 		time.Sleep(400 * time.Millisecond)
 	}
 	for _, process := range p.processes {
-		if !process.running() && process.machine != core[1] {
-			p.record.note("platform", "%s on %s has ended", process.role, process.machine.name)
+		if !process.running() && !(trouble && process.machine == core[1]) {
+			return false, fmt.Errorf("%s on %s has ended", process.role, process.machine.name)
 		}
 	}
 	p.record.say("%d orders in %.0f s with a stable core, %d requests, %d served", orders, time.Since(stable).Seconds(), requests, served)
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -20,11 +20,11 @@
 }
 
 func main() {
-	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: cases NAME")
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: cases NAME TROUBLE, where TROUBLE is 0 for no disruption")
 		os.Exit(couldNotRun)
 	}
-	os.Exit(play(os.Args[1], os.Getenv("TROUBLE") != "0"))
+	os.Exit(play(os.Args[1], os.Args[2] != "0"))
 }
 
 // play runs one case in the current folder and returns the exit code.
--- a/review/tools/memory.go
+++ b/review/tools/memory.go
@@ -50,8 +50,10 @@
 	m     *machine
 	peak  float64
 	kills int
-	stop  chan struct{}
-	done  chan struct{}
+	// err is why the guard gave up.
+	err  error
+	stop chan struct{}
+	done chan struct{}
 }
 
 func (p *platform) guardMemory(m *machine) (*guard, error) {
@@ -70,7 +72,11 @@
 			}
 			used := residentMB(process.cmd.Process.Pid)
 			g.peak = max(g.peak, used)
-			if used <= memoryMB && process.running() {
+			if !process.running() {
+				g.err = fmt.Errorf("entry on %s ended by itself, not for its memory", m.name)
+				return
+			}
+			if used <= memoryMB {
 				continue
 			}
 			g.kills++
@@ -79,7 +85,7 @@
 			<-process.done
 			time.Sleep(restartDelay)
 			if process, err = p.start(m, "entry", false); err != nil {
-				p.record.note("platform", "entry not started: %v", err)
+				g.err = err
 				return
 			}
 		}
@@ -156,6 +162,9 @@
 	for _, g := range guards {
 		close(g.stop)
 		<-g.done
+		if g.err != nil {
+			return false, g.err
+		}
 		p.record.say("entry on %s: at most %.0f MB of %d MB, ended %d times", g.m.name, g.peak, memoryMB, g.kills)
 		if g.kills >= faultEnds {
 			machines++
