Refuse calls that may outlast a stopping entry, and answer those that it cuts off

What callers saw: an entry told to stop went on to pass on calls of kept connections that it could not end, and closed the connection 7.6 s after the signal while servers worked on them.

Cause: only generations were asked whether they would end in time, and only at admission, not after they had waited for a place or before a retry. The estimate for generations stood on two constants. What remained at the end had its connection closed without a status.

Ruled out: a longer drain (the process is killed 0.4 s after it), and an estimate from earlier calls alone (those of the case took 20 ms).

Change: core/dispatch.Drain decides. What route or caller limit to the time left is passed on; other requests only if they arrived before callers could know of the stop and such requests are expected to end in time, or if the longest answer that the caller accepts fits. The question is asked again before each attempt. Requests that remain at the end are answered: 502, may have run, or 503, not run.

TestFitsDrain keeps its cases, asked of the new rule.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -37,6 +37,9 @@
 	Answered
 	// NoServer means that no server was available.
 	NoServer
+	// Outlasting means that the request was not sent, because it might take longer than
+	// the drain of the entry.
+	Outlasting
 )
 
 // Action is what the entry does next.
@@ -85,7 +88,7 @@
 	switch result {
 	case Answered:
 		return Reply
-	case NoServer:
+	case NoServer, Outlasting:
 		return r.finalAction()
 	case NotSent:
 		if r.attempts < maxTotalAttempts && remaining > minRetryTime {
@@ -142,7 +145,7 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"lost", "not_sent", "refused", "server_error", "answered", "no_server"}[r]
+	return [...]string{"lost", "not_sent", "refused", "server_error", "answered", "no_server", "outlasting"}[r]
 }
 
 // String returns the name used in logs.
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -78,12 +78,87 @@
 		{12, 7 * time.Second, true}, {936, 7 * time.Second, false}, {0, 7 * time.Second, true},
 		{0, time.Second, false}, {300, 5 * time.Second, true}, {590, 6 * time.Second, false},
 	} {
-		if got := FitsDrain(c.tokens, c.remaining); got != c.want {
-			t.Errorf("FitsDrain(%d, %v) = %v", c.tokens, c.remaining, got)
+		need := Need{Limit: time.Minute, Expected: new(Pace).Estimate(0, c.tokens)}
+		if got := (Drain{NoticeEnd: time.Second, Deadline: c.remaining}).Allows(0, 0, need); got != c.want {
+			t.Errorf("%d tokens in %v: %v", c.tokens, c.remaining, got)
 		}
 	}
 }
 
+// TestDrainAllows guards against requests that a stopping entry passes on although they may
+// outlast it, and against refusals of requests that end in time.
+func TestDrainAllows(t *testing.T) {
+	const s = time.Second
+	drain := Drain{NoticeEnd: 3 * s, Deadline: 8 * s}
+	for _, c := range []struct {
+		name         string
+		now, arrived time.Duration
+		need         Need
+		want         bool
+	}{
+		{"limit within the drain", 1 * s, 1 * s, Need{Limit: 7 * s}, true},
+		{"limit within the drain, after the notice", 4 * s, 4 * s, Need{Limit: 4 * s}, true},
+		{"quick so far, within the notice", 2 * s, 2 * s, Need{Limit: 20 * s, Expected: s}, true},
+		{"quick so far, after the notice", 3 * s, 3 * s, Need{Limit: 20 * s, Expected: s}, false},
+		{"came within the notice, waited", 4 * s, 2 * s, Need{Limit: 20 * s, Expected: s}, true},
+		{"waited too long", 7500 * time.Millisecond, 2 * s, Need{Limit: 20 * s, Expected: s}, false},
+		{"slow so far", 2 * s, 2 * s, Need{Limit: 20 * s, Expected: 7 * s}, false},
+		{"unknown", 0, 0, Need{Limit: 20 * s}, false},
+		{"longest answer fits", 4 * s, 4 * s, Need{Limit: 20 * s, Expected: 2 * s, Longest: 4 * s}, true},
+		{"longest answer does not fit", 4 * s, 4 * s, Need{Limit: 20 * s, Expected: 2 * s, Longest: 5 * s}, false},
+		{"after the drain", 9 * s, 9 * s, Need{Limit: s, Expected: 1, Longest: 1}, false},
+	} {
+		if got := drain.Allows(c.now, c.arrived, c.need); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestPace guards against estimates for a common engine where engines are slower, prompts
+// are longer, or no number of tokens is declared.
+func TestPace(t *testing.T) {
+	var slow, undeclared Pace
+	for range 50 {
+		slow.Observe(1000, 100, 2*time.Second, 4*time.Second)
+		undeclared.Observe(1000, 0, 2*time.Second, 4*time.Second)
+	}
+	for _, c := range []struct {
+		name           string
+		pace           *Pace
+		prompt, tokens int
+		want           time.Duration
+	}{
+		{"no observation", new(Pace), 1000, 100, 1500 * time.Millisecond},
+		{"slow engine", &slow, 1000, 200, 10 * time.Second},
+		{"short prompt", &slow, 10, 200, 10 * time.Second},
+		{"longer prompt", &slow, 3000, 200, 14 * time.Second},
+		{"tokens unknown", &undeclared, 1000, 200, 4 * time.Second},
+	} {
+		if got := c.pace.Estimate(c.prompt, c.tokens); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestRecent guards against bounds that trust a few observations, and against old
+// observations that are never forgotten.
+func TestRecent(t *testing.T) {
+	var r Recent
+	if r.Bound() != 0 || r.Quantile(0.9) != 0 {
+		t.Error("durations without an observation")
+	}
+	r.Observe(time.Second)
+	if got := r.Bound(); got < 5*time.Second {
+		t.Errorf("bound after one observation: %v", got)
+	}
+	for range maxRecent {
+		r.Observe(20 * time.Millisecond)
+	}
+	if got := r.Bound(); got < 20*time.Millisecond || got > 30*time.Millisecond {
+		t.Errorf("bound after %d quick calls: %v", maxRecent, got)
+	}
+}
+
 // TestRetryAfter guards against callers that retry before the system can have
 // started, too late for their remaining time, or all at the same time.
 func TestRetryAfter(t *testing.T) {
@@ -103,4 +178,8 @@
 				earliest, latest, c.low, c.high)
 		}
 	}
+	if earliest, latest := RetryElsewhere(8*time.Second, 0), RetryElsewhere(8*time.Second, 0.999); earliest <= 0 ||
+		earliest >= latest || latest > 200*time.Millisecond {
+		t.Errorf("callers that others can serve at once return after %v to %v", earliest, latest)
+	}
 }
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -1,27 +1,127 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// timePerToken is the time that an engine with most slots in use takes for one
-// token of a generation. An idle engine takes about 7 ms.
-const timePerToken = 10 * time.Millisecond
+// Drain is the planned stop of an entry. Its times are in the same clock as those of the
+// requests that it is asked about.
+type Drain struct {
+	// NoticeEnd is when callers know of the stop.
+	NoticeEnd time.Duration
+	// Deadline is when the requests that remain are cut off.
+	Deadline time.Duration
+}
 
-// timeToFirstToken is the time until a generation has its first token. The prefill
-// takes about 0.4 s, interleaved with the decoding of other generations.
-const timeToFirstToken = 500 * time.Millisecond
+// Need is how long a request may still take.
+type Need struct {
+	// Limit is the time after which the request ends in any case.
+	Limit time.Duration
+	// Expected is the time within which most requests of its kind end, 0 if unknown.
+	Expected time.Duration
+	// Longest is the time that the longest answer takes that the caller accepts, 0 if the
+	// caller did not declare its length.
+	Longest time.Duration
+}
 
-// defaultTokens is the assumed length of a generation without an estimate.
-const defaultTokens = 600
+// Allows reports whether a request that arrived at a time may be passed on now. A caller
+// that came before the end of the notice gets the chance that the expected time leaves;
+// one that came later could use another entry, so its request has to end in time for certain.
+func (d Drain) Allows(now, arrived time.Duration, need Need) bool {
+	left := d.Deadline - now
+	if need.Limit <= left {
+		return true
+	}
+	if arrived < d.NoticeEnd {
+		return need.Expected > 0 && need.Expected <= left
+	}
+	return need.Longest > 0 && need.Longest <= left
+}
+
+const (
+	// minTimePerToken is the time that an engine with most slots in use takes for one
+	// token of a generation. An idle engine takes about 7 ms.
+	minTimePerToken = 10 * time.Millisecond
+	// minTimeToFirstToken is the time until a generation has its first token. The prefill
+	// takes about 0.4 s, interleaved with the decoding of other generations.
+	minTimeToFirstToken = 500 * time.Millisecond
+	// defaultTokens is the assumed length of a generation without an estimate.
+	defaultTokens = 600
+	// paceQuantile is the quantile of observed paces that estimates use.
+	paceQuantile = 0.9
+)
 
-// FitsDrain reports whether a generation that starts now will complete before the
-// drain of a stopping entry ends in the remaining time. The estimate p90Tokens is
-// the 90th percentile of the lengths of similar generations. A generation that
-// would be cut off is refused at once, so that the caller starts it elsewhere.
-func FitsDrain(p90Tokens int, remaining time.Duration) bool {
-	if p90Tokens <= 0 {
-		p90Tokens = defaultTokens
+// Pace is how fast the generations of a route were. The zero value knows only the pace of
+// a common engine, which estimates never fall below.
+type Pace struct {
+	firstToken, perToken Recent
+	// promptTokens is the longest prompt among the latest observations.
+	promptTokens int
+}
+
+// Observe records a complete generation. The number of tokens is 0 if it is unknown.
+func (p *Pace) Observe(promptTokens, tokens int, toFirstToken, afterFirstToken time.Duration) {
+	p.firstToken.Observe(toFirstToken)
+	p.promptTokens = max(p.promptTokens, promptTokens)
+	if tokens > 0 {
+		p.perToken.Observe(afterFirstToken / time.Duration(tokens))
+	}
+}
+
+// Estimate returns the time that a generation takes. A prompt that is longer than those
+// observed takes proportionally longer to prefill.
+func (p *Pace) Estimate(promptTokens, tokens int) time.Duration {
+	if tokens <= 0 {
+		tokens = defaultTokens
+	}
+	first := max(minTimeToFirstToken, p.firstToken.Quantile(paceQuantile))
+	if p.promptTokens > 0 && promptTokens > p.promptTokens {
+		first = time.Duration(float64(first) * float64(promptTokens) / float64(p.promptTokens))
 	}
-	return timeToFirstToken+time.Duration(p90Tokens)*timePerToken <= remaining
+	return first + time.Duration(tokens)*max(minTimePerToken, p.perToken.Quantile(paceQuantile))
+}
+
+const (
+	// maxRecent is the number of durations that a Recent holds.
+	maxRecent = 100
+	// unseenWeight widens a bound by the share of durations that were not yet seen.
+	unseenWeight = 10
+)
+
+// Recent holds the latest durations of one kind.
+type Recent struct {
+	durations []time.Duration
+	next      int
+}
+
+// Observe records a duration.
+func (r *Recent) Observe(d time.Duration) {
+	if len(r.durations) < maxRecent {
+		r.durations = append(r.durations, d)
+		return
+	}
+	r.durations[r.next] = d
+	r.next = (r.next + 1) % maxRecent
+}
+
+// Quantile returns the q-quantile of the durations, 0 if there are none.
+func (r *Recent) Quantile(q float64) time.Duration {
+	if len(r.durations) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(r.durations))
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// Bound returns a duration that few others of the kind exceed, 0 if there are none. It lies
+// further above the longest one the fewer there are.
+func (r *Recent) Bound() time.Duration {
+	if len(r.durations) == 0 {
+		return 0
+	}
+	n := time.Duration(len(r.durations))
+	return slices.Max(r.durations) * (n + unseenWeight) / n
 }
 
 // Times after which refused callers retry.
@@ -31,6 +131,8 @@
 	startupDelay = 2500 * time.Millisecond
 	// slotDelay is about the time until a slot of a loaded engine becomes free.
 	slotDelay = 1500 * time.Millisecond
+	// elsewhereDelay spreads callers that other entries can serve at once.
+	elsewhereDelay = 100 * time.Millisecond
 	// maxDelayShare is the largest share of the caller's time budget that the delay
 	// takes, so that enough time is left for the second attempt.
 	maxDelayShare = 0.3
@@ -42,10 +144,19 @@
 // at the same time. The budget is how long the caller waits for a response; 0
 // means that it is unknown.
 func RetryAfter(notReady bool, budget time.Duration, jitter float64) time.Duration {
-	delay := slotDelay
 	if notReady {
-		delay = startupDelay
+		return retryDelay(startupDelay, budget, jitter)
 	}
+	return retryDelay(slotDelay, budget, jitter)
+}
+
+// RetryElsewhere returns the delay after which a caller should retry that was refused by an
+// entry to which balancers send no callers any more.
+func RetryElsewhere(budget time.Duration, jitter float64) time.Duration {
+	return retryDelay(elsewhereDelay, budget, jitter)
+}
+
+func retryDelay(delay, budget time.Duration, jitter float64) time.Duration {
 	delay = time.Duration(float64(delay) * (0.7 + 0.6*jitter))
 	if budget <= 0 {
 		return delay
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -69,6 +69,24 @@
 	mu sync.Mutex
 	// busy is set while a request is being read or served.
 	busy bool
+	// cancel cancels the request that is being served, nil if there is none.
+	cancel context.CancelCauseFunc
+}
+
+// setCancel sets how the request that is being served is canceled, nil if there is none.
+func (c *callerConn) setCancel(cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// cancelRequest cancels the request that is being served, if any.
+func (c *callerConn) cancelRequest(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel(cause)
+	}
 }
 
 // setBusy records whether a request is being read or served. While it is, closeIdleAt
@@ -151,7 +169,7 @@
 	}
 	w.noBody = parsed.Method == http.MethodHead
 	w.http10 = parsed.ProtoMinor == 0
-	w.closeAfter = parsed.Close || w.http10 || c.gateway.draining.Load()
+	w.closeAfter = parsed.Close || w.http10 || c.gateway.drain.Load() != nil
 	if strings.EqualFold(parsed.Header.Get("Expect"), "100-continue") {
 		w.extendDeadline()
 		_, _ = c.out.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
@@ -162,10 +180,12 @@
 	if err != nil {
 		return c.reject(w, err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	stop := c.watchClose(cancel)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c.setCancel(cancel)
+	stop := c.watchClose(func() { cancel(context.Canceled) })
 	c.gateway.handle(ctx, &request{Request: parsed, body: body, arrived: arrived}, w)
-	cancel()
+	c.setCancel(nil)
+	cancel(nil)
 	stop()
 	if w.started && !w.ended {
 		w.abort()
--- /dev/null
+++ b/gateway/drain.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/dispatch"
+	"arbutusmast.example/arbutusmast/core/verdict"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// drainPollInterval is the interval at which Drain checks for remaining requests.
+	drainPollInterval = 50 * time.Millisecond
+	// drainIdleGrace is how long connections without a request stay open after the
+	// listener was closed. A request that was sent before the caller could know of the
+	// stop arrives meanwhile.
+	drainIdleGrace = 500 * time.Millisecond
+	// signalDelay covers the time between the signal to stop and the call of Drain.
+	signalDelay = 60 * time.Millisecond
+	// cutOffGrace is the time after the end of the drain in which the requests that
+	// remain are answered.
+	cutOffGrace = 200 * time.Millisecond
+)
+
+// errStopping is the cause with which the requests that remain at the end of the drain are
+// canceled.
+var errStopping = errors.New("the entry stops")
+
+// Drain makes Ready report false, accepts requests for the duration of notice so
+// that load balancers can react, closes the listener, and then waits until no request
+// remains or ctx ends. Requests that remain then are cut off with an answer.
+func (g *Gateway) Drain(ctx context.Context, notice time.Duration, listener net.Listener) {
+	drain := &dispatch.Drain{NoticeEnd: g.elapsed() + max(0, notice-signalDelay), Deadline: noDeadline}
+	if deadline, ok := ctx.Deadline(); ok {
+		drain.Deadline = g.elapsed() + time.Until(deadline)
+	}
+	g.drain.Store(drain)
+	select {
+	case <-ctx.Done():
+	case <-time.After(notice):
+	}
+	_ = listener.Close()
+	g.closing.Store(true)
+	idleUntil := time.Now().Add(drainIdleGrace)
+	for ctx.Err() == nil && g.closeIdle(idleUntil) > 0 {
+		time.Sleep(drainPollInterval)
+	}
+	left := g.activeRequests.Load()
+	g.cutOff()
+	g.logger.Info("drained", zap.Int64("requests_left", left))
+}
+
+// noDeadline is the deadline of a drain that lasts until no request remains.
+const noDeadline = time.Duration(1<<63 - 1)
+
+// closeIdle makes idle connections close at a time, and returns the number of
+// connections that are still open.
+func (g *Gateway) closeIdle(at time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		c.closeIdleAt(at)
+	}
+	return len(g.conns)
+}
+
+// cutOff cancels the requests that remain and waits until they are answered or cutOffGrace
+// is over.
+func (g *Gateway) cutOff() {
+	g.mu.Lock()
+	for c := range g.conns {
+		c.cancelRequest(errStopping)
+	}
+	g.mu.Unlock()
+	for end := time.Now().Add(cutOffGrace); g.activeRequests.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval / 10)
+	}
+}
+
+// isStopping reports whether the request was canceled at the end of the drain.
+func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
+// outlastsDrain reports whether the entry drains and the request, if it is passed on now,
+// may take longer than that.
+func (x *exchange) outlastsDrain() bool {
+	drain := x.g.drain.Load()
+	if drain == nil {
+		return false
+	}
+	now, arrived := x.g.elapsed(), x.r.arrived.Sub(x.g.started)
+	return !drain.Allows(now, arrived, x.need())
+}
+
+// need returns how long the request may take. A retried call is expected to take at least
+// as long as its last attempt did.
+func (x *exchange) need() dispatch.Need {
+	need := dispatch.Need{Limit: x.remaining()}
+	if x.route.Kind != desired.Stream {
+		need.Expected = x.g.times.callBound(x.route.Name)
+		if !x.sentAt.IsZero() && need.Expected > 0 {
+			need.Expected = max(need.Expected, time.Since(x.sentAt))
+		}
+		return need
+	}
+	need.Expected = x.g.times.generation(x.route.Name, x.metadata.PromptTokens, x.p90Tokens)
+	if x.metadata.MaxTokens > 0 {
+		need.Longest = x.g.times.generation(x.route.Name, x.metadata.PromptTokens, x.metadata.MaxTokens)
+	}
+	return need
+}
+
+// refuseStopping refuses a request that may take longer than the drain.
+func (x *exchange) refuseStopping() {
+	drain, need := x.g.drain.Load(), x.need()
+	x.g.metrics.refused.Add(1)
+	retryAfter := dispatch.RetryAfter(false, x.metadata.Timeout, x.g.random())
+	if x.g.elapsed() >= drain.NoticeEnd {
+		retryAfter = dispatch.RetryElsewhere(x.metadata.Timeout, x.g.random())
+	}
+	x.fail(http.StatusServiceUnavailable, verdict.NotRun, "this entry stops before the request would end", verdict.ReasonLeaving,
+		retryAfter, zap.Duration("drain_left_seconds", drain.Deadline-x.g.elapsed()),
+		zap.Duration("expected_seconds", need.Expected), zap.Duration("limit_seconds", need.Limit))
+}
+
+// cutOff answers a request that remained at the end of the drain and has no answer yet.
+func (x *exchange) cutOff(result dispatch.Result) {
+	if !x.retrier.MayHaveRun() && wasNotRun(result) {
+		x.g.metrics.refused.Add(1)
+		x.fail(http.StatusServiceUnavailable, verdict.NotRun, "this entry stops", verdict.ReasonLeaving,
+			dispatch.RetryElsewhere(x.metadata.Timeout, x.g.random()))
+		return
+	}
+	x.g.metrics.cutOff.Add(1)
+	x.fail(http.StatusBadGateway, verdict.MayHaveRun, "this entry stopped before the answer", verdict.ReasonLeaving, 0)
+}
+
+// wasNotRun reports whether an attempt with the result was certainly not run.
+func wasNotRun(result dispatch.Result) bool {
+	return result == dispatch.NotSent || result == dispatch.NoServer || result == dispatch.Refused ||
+		result == dispatch.Outlasting
+}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -46,7 +46,7 @@
 		h.gateway.Drain(ctx, 0, h.listen)
 		close(drained)
 	}()
-	for !h.gateway.draining.Load() {
+	for h.gateway.drain.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	var group sync.WaitGroup
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/fleet"
@@ -167,15 +168,13 @@
 	outcomes *outcomeBoard
 	parts    *partGuard
 	lengths  lengthPredictor
+	times    timePredictor
 	buffers  bufferBudget
 	started  time.Time
 
-	draining, closing atomic.Bool
-	// drainDeadline is the value of elapsed, in nanoseconds, at which draining ends
-	// even if requests remain.
-	drainDeadline atomic.Int64
-	// noticeEnd is the value of elapsed, in nanoseconds, from which callers know of the stop.
-	noticeEnd      atomic.Int64
+	// drain is set while the entry drains. Its times are values of elapsed.
+	drain          atomic.Pointer[dispatch.Drain]
+	closing        atomic.Bool
 	activeRequests atomic.Int64
 
 	mu    sync.Mutex
@@ -222,7 +221,7 @@
 
 // Ready reports whether the entry should get new callers, and the reason if not.
 func (g *Gateway) Ready() (bool, string) {
-	if g.draining.Load() {
+	if g.drain.Load() != nil {
 		return false, "draining"
 	}
 	if g.table() == nil {
@@ -270,48 +269,3 @@
 // acceptRetryDelay is the delay after a temporary error of Accept, such as a lack
 // of file descriptors.
 const acceptRetryDelay = 50 * time.Millisecond
-
-// drainPollInterval is the interval at which Drain checks for remaining requests.
-const drainPollInterval = 50 * time.Millisecond
-
-// Drain makes Ready report false, accepts requests for the duration of notice so
-// that load balancers can react, closes the listener, and then waits until no request
-// remains or ctx ends.
-func (g *Gateway) Drain(ctx context.Context, notice time.Duration, listener net.Listener) {
-	if deadline, ok := ctx.Deadline(); ok {
-		g.drainDeadline.Store(int64(g.elapsed() + time.Until(deadline)))
-	}
-	g.noticeEnd.Store(int64(g.elapsed() + notice - notice/noticeMargin))
-	g.draining.Store(true)
-	select {
-	case <-ctx.Done():
-	case <-time.After(notice):
-	}
-	_ = listener.Close()
-	g.closing.Store(true)
-	idleUntil := time.Now().Add(drainIdleGrace)
-	for ctx.Err() == nil && g.closeIdle(idleUntil) > 0 {
-		time.Sleep(drainPollInterval)
-	}
-	g.logger.Info("drained", zap.Int64("requests_left", g.activeRequests.Load()))
-}
-
-// noticeMargin is the part of the notice, one of so many, that covers the time between the
-// signal to stop and the call of Drain, and between the arrival of a request and its admission.
-const noticeMargin = 10
-
-// drainIdleGrace is how long connections without a request stay open after the
-// listener was closed. A request that was sent before the caller could know of the
-// stop arrives meanwhile.
-const drainIdleGrace = 500 * time.Millisecond
-
-// closeIdle makes idle connections close at a time, and returns the number of
-// connections that are still open.
-func (g *Gateway) closeIdle(at time.Time) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for c := range g.conns {
-		c.closeIdleAt(at)
-	}
-	return len(g.conns)
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -408,7 +408,7 @@
 	defer cancel()
 	done := make(chan struct{})
 	go func() { h.gateway.Drain(ctx, 500*time.Millisecond, h.listen); close(done) }()
-	for !h.gateway.draining.Load() {
+	for h.gateway.drain.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	if ready, _ := h.gateway.Ready(); ready {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -41,8 +41,9 @@
 	service  string
 	priority int
 	blocks   int
-	// expectedTokens is the predicted output length.
-	expectedTokens int
+	// expectedTokens is the predicted output length, and p90Tokens the length that nine of
+	// ten such outputs stay within.
+	expectedTokens, p90Tokens int
 	// deadline is the earlier of the deadlines of the caller and the route.
 	deadline time.Time
 	retrier  *dispatch.Retrier
@@ -80,7 +81,6 @@
 	if !x.admit() || x.refuseQuarantined() {
 		return
 	}
-	x.deadline = r.arrived.Add(x.timeLimit())
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.service = x.route.PickService(g.random())
@@ -88,7 +88,11 @@
 		x.retrier = dispatch.New(g.elapsed(), x.route.Kind, x.route.MaxAttempts, b)
 	})
 	x.run(ctx)
-	g.metrics.requestDuration.Record(time.Since(r.arrived))
+	duration := time.Since(r.arrived)
+	g.metrics.requestDuration.Record(duration)
+	if x.route.Kind != desired.Stream && !x.sentAt.IsZero() {
+		g.times.observeCall(x.route.Name, duration)
+	}
 	if w.started {
 		g.metrics.statuses.Add(strconv.Itoa(w.status), 1)
 	}
@@ -133,27 +137,16 @@
 			x.priority = x.caller.Priority
 		}
 	}
-	var p90 int
-	x.expectedTokens, p90 = g.lengths.predict(x.route.Name, x.metadata)
+	x.expectedTokens, x.p90Tokens = g.lengths.predict(x.route.Name, x.metadata)
 	x.blocks = neededBlocks(x.metadata, x.expectedTokens)
-	if g.draining.Load() && x.route.Kind == desired.Stream && !x.fitsDrain(p90) {
-		x.refuse("this entry stops before the generation would end", verdict.ReasonLeaving)
+	x.deadline = x.r.arrived.Add(x.timeLimit())
+	if x.outlastsDrain() {
+		x.refuseStopping()
 		return false
 	}
 	return true
 }
 
-// fitsDrain reports whether a generation will end before the drain. Callers who still come
-// when they can know of the stop are not cut, so then the longest output has to fit.
-func (x *exchange) fitsDrain(p90 int) bool {
-	elapsed := x.g.elapsed()
-	remaining := time.Duration(x.g.drainDeadline.Load()) - elapsed
-	if elapsed < time.Duration(x.g.noticeEnd.Load()) {
-		return dispatch.FitsDrain(p90, remaining)
-	}
-	return x.metadata.MaxTokens > 0 && dispatch.FitsDrain(x.metadata.MaxTokens, remaining)
-}
-
 // neededBlocks returns the memory that the request is expected to need.
 func neededBlocks(metadata RequestMetadata, expectedTokens int) int {
 	return max(1, (metadata.PromptTokens+expectedTokens)/blockTokens)
@@ -171,6 +164,10 @@
 			return
 		}
 		body, result, err := x.bufferResponse(u, result, err)
+		if result == dispatch.Lost && isStopping(ctx) {
+			x.abandon(ctx, u, result, err)
+			return
+		}
 		x.reportAttempt(server, u, result)
 		if result == dispatch.Lost {
 			x.reportCrash(ctx, server)
@@ -306,18 +303,22 @@
 	}
 }
 
-// abandon ends a request whose caller disconnected or whose deadline passed.
+// abandon ends a request whose caller disconnected, whose deadline passed or that remained
+// at the end of the drain.
 func (x *exchange) abandon(ctx context.Context, u *upstream, result dispatch.Result, err error) {
 	u.discard()
 	x.late.stop()
+	if isStopping(ctx) {
+		x.cutOff(result)
+		return
+	}
 	if x.remaining() > 0 {
 		x.g.metrics.callersGone.Add(1)
 		x.logger.Info("caller gone before the answer", zap.Int("attempts", x.retrier.Attempts()+1), zap.Error(ctx.Err()))
 		x.w.closeAfter = true
 		return
 	}
-	if !x.retrier.MayHaveRun() &&
-		(result == dispatch.NotSent || result == dispatch.NoServer || result == dispatch.Refused) {
+	if !x.retrier.MayHaveRun() && wasNotRun(result) {
 		x.refuse("no backend server took the request in time", verdict.ReasonDeadline)
 		return
 	}
--- a/gateway/lengths.go
+++ b/gateway/lengths.go
@@ -2,7 +2,9 @@
 
 import (
 	"sync"
+	"time"
 
+	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/length"
 )
 
@@ -66,3 +68,64 @@
 	}
 	m.Observe(metadata.boundedHint(), tokens)
 }
+
+// timePredictor predicts how long requests take by route.
+type timePredictor struct {
+	mu     sync.Mutex
+	routes map[string]*routeTimes
+}
+
+// routeTimes is how long the requests of one route took.
+type routeTimes struct {
+	calls dispatch.Recent
+	pace  dispatch.Pace
+}
+
+// route returns the times of a route, which it creates if needed. The caller holds t.mu.
+func (t *timePredictor) route(name string) *routeTimes {
+	r := t.routes[name]
+	if r == nil {
+		if t.routes == nil || len(t.routes) >= maxRouteModels {
+			t.routes = map[string]*routeTimes{}
+		}
+		r = &routeTimes{}
+		t.routes[name] = r
+	}
+	return r
+}
+
+// observeCall records how long a call took that was passed on.
+func (t *timePredictor) observeCall(route string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.route(route).calls.Observe(d)
+}
+
+// callBound returns the time that few calls of a route exceed, 0 if none was observed.
+func (t *timePredictor) callBound(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.routes[route]; r != nil {
+		return r.calls.Bound()
+	}
+	return 0
+}
+
+// observeGeneration records how long a complete generation took. The number of tokens is 0
+// if it is unknown.
+func (t *timePredictor) observeGeneration(route string, promptTokens, tokens int, toFirstToken, afterFirstToken time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.route(route).pace.Observe(promptTokens, tokens, toFirstToken, afterFirstToken)
+}
+
+// generation returns the time that a generation of a route takes.
+func (t *timePredictor) generation(route string, promptTokens, tokens int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.routes[route]
+	if r == nil {
+		r = &routeTimes{}
+	}
+	return r.pace.Estimate(promptTokens, tokens)
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,7 +9,7 @@
 // metrics holds the metrics of the gateway.
 type metrics struct {
 	requests, rejected, refused, failed, retried, streamsAborted, streamsResumed,
-	callersGone, streamsLate, quarantined, serverCrashes *expvar.Int
+	callersGone, streamsLate, quarantined, serverCrashes, cutOff *expvar.Int
 	statuses, crossDomainBytes *observe.Counters
 	firstByte, requestDuration *observe.Histogram
 }
@@ -23,7 +23,7 @@
 		refused: m.Counter("gateway_refused_total"), failed: m.Counter("gateway_failed_total"),
 		retried: m.Counter("gateway_retried_total"), streamsAborted: m.Counter("gateway_streams_aborted_total"),
 		streamsResumed: m.Counter("gateway_streams_resumed_total"), callersGone: m.Counter("gateway_callers_gone_total"),
-		streamsLate: m.Counter("gateway_streams_late_total"),
+		streamsLate: m.Counter("gateway_streams_late_total"), cutOff: m.Counter("gateway_cut_off_total"),
 		quarantined: m.Counter("gateway_held_back_total"), serverCrashes: m.Counter("gateway_server_crashes_total"),
 		statuses:         m.Counters("gateway_responses_total", maxStatuses),
 		crossDomainBytes: m.Counters("gateway_cross_domain_bytes_total", maxStatuses),
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -12,7 +12,8 @@
 	"go.uber.org/zap"
 )
 
-// attempt sends the request to another server, unless a part of its prompt is held back.
+// attempt sends the request to another server, unless a part of its prompt is held back or
+// the entry stops too soon.
 func (x *exchange) attempt(ctx context.Context) (backend.Server, *upstream, dispatch.Result, error) {
 	if x.partHeld() {
 		return backend.Server{}, nil, dispatch.NoServer, nil
@@ -25,6 +26,10 @@
 		x.reportResult(server.ID, placement.NotSent)
 		return backend.Server{}, nil, dispatch.NoServer, nil
 	}
+	if x.outlastsDrain() {
+		x.reportResult(server.ID, placement.NotSent)
+		return backend.Server{}, nil, dispatch.Outlasting, nil
+	}
 	if x.g.notices.resting(server.ID) {
 		// The server asked for rest while the request was being placed.
 		x.tried = append(x.tried, server.ID)
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -170,6 +170,11 @@
 	}
 }
 
+// fitsDrain reports whether a generation of so many tokens ends within the remaining time.
+func fitsDrain(tokens int, remaining time.Duration) bool {
+	return new(dispatch.Pace).Estimate(0, tokens) <= remaining
+}
+
 // Guards against a draining entry that accepts generations much longer than predicted
 // and aborts them (seen with mix --seed 595274790888 of a deployment).
 func TestDrainAllowsForLongOutputs(t *testing.T) {
@@ -184,7 +189,7 @@
 	for i := range 200 {
 		tokens := 160 << (i % 4)
 		_, p90 := l.predict("r", RequestMetadata{LengthHint: tokens << (i / 4 % 3) / 2, MaxTokens: 1768})
-		if !dispatch.FitsDrain(p90, remaining) {
+		if !fitsDrain(p90, remaining) {
 			continue
 		}
 		admitted++
@@ -195,7 +200,7 @@
 	if cutOff > admitted/10 {
 		t.Errorf("%d of %d accepted generations do not end in time", cutOff, admitted)
 	}
-	if _, p90 := l.predict("short", RequestMetadata{LengthHint: 8, MaxTokens: 16}); !dispatch.FitsDrain(p90, remaining) {
+	if _, p90 := l.predict("short", RequestMetadata{LengthHint: 8, MaxTokens: 16}); !fitsDrain(p90, remaining) {
 		t.Error("a short generation is refused")
 	}
 }
@@ -209,7 +214,7 @@
 		l.observe("h", RequestMetadata{LengthHint: 200, MaxTokens: 480}, 12+i)
 	}
 	for route, hint := range map[string]int{"r": 0, "h": 200} {
-		if _, p90 := l.predict(route, RequestMetadata{LengthHint: hint, MaxTokens: 480}); dispatch.FitsDrain(p90,
+		if _, p90 := l.predict(route, RequestMetadata{LengthHint: hint, MaxTokens: 480}); fitsDrain(p90,
 			2300*time.Millisecond) {
 			t.Errorf("hint %d: a generation of up to 480 tokens is predicted to have at most %d", hint, p90)
 		}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -32,6 +32,10 @@
 
 // refuseUnplaced refuses a request that no server took.
 func (x *exchange) refuseUnplaced(result dispatch.Result) {
+	if result == dispatch.Outlasting {
+		x.refuseStopping()
+		return
+	}
 	if x.refuseHeldPart() {
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -101,7 +101,7 @@
 			x.reportResult(u.server.ID, placement.Completed)
 			x.observe(u.server, false)
 			x.clearSuspicion()
-			x.observeLength(events.count)
+			x.observeLength(events.count, &timing)
 			x.logEnd(u, events, &timing, resumes)
 			if err := x.w.finish(); err != nil {
 				x.callerGone(err)
@@ -154,13 +154,16 @@
 	t.longestPause = max(t.longestPause, since)
 }
 
-// observeLength records the length of a complete output. Without a declared number
-// of tokens per event, the length in tokens is unknown and nothing is recorded.
-func (x *exchange) observeLength(events int) {
-	service := x.g.table().Service(x.service)
+// observeLength records the length of a complete output and how long it took. Without a
+// declared number of tokens per event, the length in tokens is unknown and not recorded.
+func (x *exchange) observeLength(events int, timing *eventTiming) {
+	service, tokens := x.g.table().Service(x.service), 0
 	if service != nil && service.Engine != nil && service.Engine.EventTokens > 0 {
-		x.g.lengths.observe(x.route.Name, x.metadata, events*service.Engine.EventTokens)
+		tokens = events * service.Engine.EventTokens
+		x.g.lengths.observe(x.route.Name, x.metadata, tokens)
 	}
+	toFirst := timing.firstEvent
+	x.g.times.observeGeneration(x.route.Name, x.metadata.PromptTokens, tokens, toFirst, timing.lastEvent.Sub(x.r.arrived)-toFirst)
 }
 
 // logEnd logs a complete response. Late responses have a log message of their own,
@@ -248,6 +251,6 @@
 
 func (x *exchange) logBroken(ctx context.Context, u *upstream, events *eventReader, err, resumeErr error) {
 	x.logger.Info("stream broken off by its server", zap.String("backend_server", u.server.ID),
-		zap.Int("events", events.count), zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil),
+		zap.Int("events", events.count), zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil), zap.Bool("entry_stops", isStopping(ctx)),
 		zap.NamedError("cause", err), zap.Bool("resumed", resumeErr == nil), zap.NamedError("resume_error", resumeErr))
 }
