Refuse requests that may outlast the drain of an INI entry, and answer what remains

TestEntryDrain, on the old code: a request after the notice got 200 while the entry stopped, and the request that remained was not answered at the end of the drain.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -227,6 +227,10 @@
 // load balancers and other entries stop sending before requests are refused.
 const drainDelay = time.Second
 
+// cutOffWriteTime is the time in which the responses to requests are written that remained
+// at the end of the drain.
+const cutOffWriteTime = 200 * time.Millisecond
+
 // Drain waits for all requests to finish, in the order in which requests pass
 // through the daemon: callers' requests, executions that other entries started
 // here, RPCs from other daemons, and requests at stand-in engines. Each listener
@@ -262,7 +266,7 @@
 // drainEntry drains the entry and closes the caller listener. The agent refuses
 // new executions after drainDelay.
 func (d *Daemon) drainEntry(ctx context.Context) error {
-	d.entry.StartDraining()
+	d.entry.StartDraining(ctx, drainDelay)
 	select {
 	case <-time.After(drainDelay):
 	case <-ctx.Done():
@@ -270,16 +274,20 @@
 	if d.agent != nil {
 		d.agent.Leave()
 	}
-	if err := d.entry.Drain(ctx); err != nil {
-		return err
+	drainErr := d.entry.Drain(ctx)
+	if drainErr != nil {
+		// The requests that remained were answered just now.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), cutOffWriteTime)
+		defer cancel()
 	}
 	for _, s := range d.servers {
 		// Shutdown waits until the responses are written completely.
-		if err := s.Shutdown(ctx); err != nil {
+		if err := s.Shutdown(ctx); err != nil && drainErr == nil {
 			return errors.Wrap(err, "shut down caller listener")
 		}
 	}
-	return nil
+	return drainErr
 }
 
 // Close stops all roles immediately, without draining.
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -42,3 +42,42 @@
 		t.Error(err)
 	}
 }
+
+// TestEntryDrain guards against requests that an entry takes after its notice and cuts off,
+// against refusals of requests that end in time, and against connections that are closed
+// without an answer at the end of a drain.
+func TestEntryDrain(t *testing.T) {
+	const notice, limit = 100 * time.Millisecond, 2 * time.Second
+	tc := newTestCluster(t, clusterOptions{standin: standin.Options{TokenInterval: 20 * time.Millisecond}})
+	type answer struct {
+		status  int
+		verdict string
+	}
+	send := func(path, body string) answer {
+		resp := tc.send(context.Background(), tc.urls[0], "POST", path, body)
+		_, err := io.Copy(io.Discard, resp.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		return answer{resp.StatusCode, resp.Header.Get(entry.VerdictHeader)}
+	}
+	remaining := make(chan answer, 1)
+	go func() { remaining <- send("/v1/completions", completion("[tokens=300]", false)) }()
+	eventually(t, "a generation is in progress", func() bool { return tc.entries[0].ActiveRequests() > 0 })
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	tc.entries[0].StartDraining(ctx, notice)
+	if got := send("/v1/completions", completion("[tokens=2]", false)); got.status != 200 {
+		t.Errorf("a request within the notice: %v", got)
+	}
+	time.Sleep(notice)
+	if got := send("/v1/completions", completion("[tokens=2]", false)); got != (answer{503, "not_run"}) {
+		t.Errorf("a request after the notice: %v", got)
+	}
+	if err := tc.entries[0].Drain(ctx); err == nil {
+		t.Error("the drain did not report that a request remained")
+	}
+	if got := <-remaining; got != (answer{504, "may_have_run"}) {
+		t.Errorf("the request that remained: %v", got)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"arbutusmast.example/arbutusmast/core/burn"
 	"arbutusmast.example/arbutusmast/core/contract"
+	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/go-chi/chi/v5"
@@ -105,10 +106,15 @@
 	cancel          context.CancelFunc
 	requestSequence atomic.Uint64
 	activeRequests  atomic.Int64
-	draining        atomic.Bool
-	placer          *placer
-	retryBudgets    *retryBudgets
-	callerLimits    *callerLimits
+	started         time.Time
+	// drain is set while the entry drains. Its times are times since started.
+	drain atomic.Pointer[dispatch.Drain]
+	// cutOff ends the requests that remain at the end of the drain.
+	cutOff       context.Context
+	endCutOff    context.CancelFunc
+	placer       *placer
+	retryBudgets *retryBudgets
+	callerLimits *callerLimits
 
 	undispatched undispatchedCalls
 
@@ -120,8 +126,10 @@
 func New(options Options) *Entry {
 	options = options.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
+	cutOff, endCutOff := context.WithCancel(ctx)
 	return &Entry{
-		options: options, logger: options.Logger, ctx: ctx, cancel: cancel,
+		options: options, logger: options.Logger, ctx: ctx, cancel: cancel, started: time.Now(),
+		cutOff: cutOff, endCutOff: endCutOff,
 		placer: newPlacer(options.Fleet, options.FailureDomain), retryBudgets: newRetryBudgets(),
 		callerLimits: newCallerLimits(), links: map[string]*agentLink{},
 	}
@@ -158,28 +166,7 @@
 func (e *Entry) ActiveRequests() int64 { return e.activeRequests.Load() }
 
 // Ready reports whether the entry may receive new requests.
-func (e *Entry) Ready() bool { return !e.draining.Load() && e.options.Fleet.Ready() }
-
-// StartDraining makes Ready report false from now on.
-func (e *Entry) StartDraining() { e.draining.Store(true) }
-
-// Drain calls StartDraining and waits until no request is in progress or ctx ends.
-// Requests that arrive meanwhile are still served, because the load balancer
-// notices the change only after some time.
-func (e *Entry) Drain(ctx context.Context) error {
-	e.StartDraining()
-	ticker := time.NewTicker(20 * time.Millisecond)
-	defer ticker.Stop()
-	for e.activeRequests.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	e.closeLinks(ctx)
-	return nil
-}
+func (e *Entry) Ready() bool { return e.drain.Load() == nil && e.options.Fleet.Ready() }
 
 // linkCloseTimeout bounds the wait for agents to read the last frames of an entry
 // that shuts down. Agents that miss its last acknowledgements keep the answers.
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -48,11 +48,14 @@
 	defer e.activeRequests.Add(-1)
 	id := e.nextRequestID()
 	g, failure := e.newGeneration(w, r, id)
+	if failure == nil {
+		failure = e.checkDrain(e.options.RequestTimeout)
+	}
 	if failure != nil {
 		writeError(w, id, failure)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), e.options.RequestTimeout)
+	ctx, cancel := e.requestContext(r.Context(), e.options.RequestTimeout)
 	defer cancel()
 	g.serve(ctx, w)
 }
@@ -136,6 +139,7 @@
 		failure = combineFailures(previous, failure)
 		previous = failure
 		if !retry {
+			failure = g.entry.cutOffFailure(failure)
 			cw.progress.finish(time.Now(), failure)
 			cw.writeFailure(failure)
 			return
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -39,6 +39,9 @@
 	defer e.activeRequests.Add(-1)
 	id := e.nextRequestID()
 	c, failure := e.newPlainCall(w, r, id)
+	if failure == nil {
+		failure = e.checkDrain(c.service.Timeout)
+	}
 	if failure != nil {
 		writeError(w, id, failure)
 		return
@@ -49,11 +52,11 @@
 		// outcome is recorded for a retry of the caller.
 		parent = context.WithoutCancel(parent)
 	}
-	ctx, cancel := context.WithTimeout(parent, c.service.Timeout)
+	ctx, cancel := e.requestContext(parent, c.service.Timeout)
 	defer cancel()
 	reply, failure := c.run(ctx)
 	if failure != nil {
-		writeError(w, id, failure)
+		writeError(w, id, e.cutOffFailure(failure))
 		return
 	}
 	writeForwardReply(w, id, reply)
