Count crashes of a request by its attempts, not by the ids of servers

Sound requests in progress at those servers were lost.

Cause: the control group took "server id and digest" for the identity of a crash, so a later crash of a server under its id was taken for a repeated report. The pair was marked as seen also where the crash did not count, because its request overlapped the last counted one.

Ruled out: the start of the process from the list as the identity. The list lags, and a server that is back and crashes again within the lag would not count.

Change: count attempts that followed each other, whatever the server. Attempts that overlap, or are less apart than the error of times that are computed from ages in reports (0.25 s, now the time limit of a delivery), count as one. A table that is rebuilt from published entries begins at the last counted crash.

Tests that changed: TestRecordCrashOf asserted that a second crash of a server under its id, one second later, does not count; that was the fault. It now sends a repeated report with the same attempt and asserts the count with more cases.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -5,6 +5,8 @@
 
 import (
 	"container/list"
+	"math"
+	"slices"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/message"
@@ -43,8 +45,26 @@
 	Quarantined bool          `cbor:"3,keyasint"`
 	Expires     time.Duration `cbor:"4,keyasint"`
 	Sequence    uint64        `cbor:"5,keyasint"`
-	// LastCrash is the time of the last crash that RecordCrashOf counted.
-	LastCrash time.Duration `cbor:"6,keyasint,omitempty"`
+	// Counted are the attempts that RecordCrashOf counted.
+	Counted []Attempt `cbor:"6,keyasint,omitempty"`
+}
+
+// Attempt is a request that was in flight at a crash of its backend server, from its sending
+// to the crash.
+type Attempt struct {
+	Sent    time.Duration `cbor:"1,keyasint"`
+	Crashed time.Duration `cbor:"2,keyasint"`
+}
+
+// MaxAgeError is the largest error of a time that is computed from an age in a report: the
+// time limit for the delivery of a report.
+const MaxAgeError = 250 * time.Millisecond
+
+// isSeparate reports whether one of two attempts was certainly sent after the crash at which
+// the other one ended. Attempts that overlap may have been in flight at one crash, at one
+// server or at several that were lost together, and reports of one attempt always overlap.
+func (a Attempt) isSeparate(other Attempt) bool {
+	return a.Sent >= other.Crashed+MaxAgeError || other.Sent >= a.Crashed+MaxAgeError
 }
 
 // Cleared is a digest that was removed from the table before it expired.
@@ -132,20 +152,30 @@
 	}
 }
 
-// RecordCrashOf records that one digest was in flight at a crash of a backend
-// server whose other requests are not known. The id identifies the pair of crash
-// and digest. A request that was sent before the last counted crash of its digest
-// does not count: when a failure domain is cut off, equal requests can be in
-// flight at several of its servers without having crashed them one after another.
-func (t *Table) RecordCrashOf(now time.Duration, id, digest string, sent, crashed time.Duration) {
-	if !t.addCrashID(now, id) || digest == "" {
+// RecordCrashOf records that one digest was in flight at a crash of a backend server whose
+// other requests are not known. It counts attempts that followed each other. The server does
+// not matter: it may start again under its name, and equal requests can be in flight at
+// several servers of a failure domain that is lost without having crashed them.
+func (t *Table) RecordCrashOf(now time.Duration, digest string, attempt Attempt) {
+	t.Expire(now)
+	if digest == "" {
 		return
 	}
-	if e, known := t.entries[digest]; known && sent < e.Value.(*Entry).LastCrash {
-		return
+	var counted []Attempt
+	if e, known := t.entries[digest]; known {
+		counted = e.Value.(*Entry).Counted
+	}
+	for _, other := range counted {
+		if !attempt.isSeparate(other) {
+			return
+		}
 	}
 	t.countCrash(now, digest, false)
-	t.entries[digest].Value.(*Entry).LastCrash = crashed
+	entry := t.entries[digest].Value.(*Entry)
+	entry.Counted = append(slices.Clip(counted), attempt)
+	if len(entry.Counted) > SharedSuspectCrashes {
+		entry.Counted = entry.Counted[1:]
+	}
 }
 
 // addCrashID records a crash ID and reports whether it is new.
@@ -183,7 +213,8 @@
 	return exported
 }
 
-// Import returns a Table with the digests that Export returned on another member.
+// Import returns a Table with the digests that Export returned on another member. Attempts
+// that were sent before the last crash that the other member counted do not count again.
 func Import(now time.Duration, exported []message.Quarantine) *Table {
 	t := NewTable()
 	for i := len(exported) - 1; i >= 0; i-- {
@@ -195,9 +226,11 @@
 		entry := &Entry{
 			Digest: q.Digest, Sequence: t.sequence, Crashes: minExportCrashes, Quarantined: !q.Suspect, Expires: now + q.For,
 		}
+		ttl := SuspectTTL
 		if entry.Quarantined {
-			entry.Crashes = SharedSuspectCrashes
+			entry.Crashes, ttl = SharedSuspectCrashes, QuarantineTTL
 		}
+		entry.Counted = []Attempt{{Sent: math.MinInt64 / 2, Crashed: entry.Expires - ttl}}
 		t.entries[q.Digest] = t.listFor(entry.Quarantined).PushBack(entry)
 	}
 	return t
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -101,23 +101,41 @@
 	}
 }
 
-// TestRecordCrashOf guards against the quarantine of a request after two crashes
-// at which the other requests are not known, against repeated reports that count
-// more than once, and against a new leader whose table lacks what the previous
-// leader exported.
+// TestRecordCrashOf guards against the quarantine of a request after two crashes at which the
+// other requests are not known, against repeated and late reports that count more than once,
+// against crashes that do not count because their server kept its id, and against a new
+// leader whose table lacks what the previous leader exported.
 func TestRecordCrashOf(t *testing.T) {
+	const s = time.Second
 	table := NewTable()
-	for i, server := range []string{"i-1", "i-1", "i-2"} {
-		at := time.Duration(i) * time.Second
-		table.RecordCrashOf(at, server+" a", "a", at-100*time.Millisecond, at)
+	record := func(table *Table, now time.Duration, digest string, sent, crashed time.Duration) {
+		table.RecordCrashOf(now, digest, Attempt{Sent: sent, Crashed: crashed})
 	}
-	table.RecordCrashOf(time.Second, "i-1 b", "b", 0, time.Second)
-	if got := table.Export(3*time.Second, 10); len(got) != 1 || got[0].Digest != "a" || !got[0].Suspect {
+	record(table, 1*s, "a", 900*time.Millisecond, 1*s)
+	record(table, 2*s, "a", 900*time.Millisecond, 1*s)
+	record(table, 2*s, "a", 1200*time.Millisecond, 1300*time.Millisecond)
+	if got := table.Export(2*s, 10); len(got) != 0 {
+		t.Fatalf("after one crash, reported again with other ages: %+v", got)
+	}
+	record(table, 4*s, "a", 3900*time.Millisecond, 4*s)
+	record(table, 4*s, "b", 0, 1*s)
+	if got := table.Export(4*s, 10); len(got) != 1 || got[0].Digest != "a" || !got[0].Suspect {
 		t.Fatalf("after two crashes: %+v, want a as a suspect", got)
 	}
-	table.RecordSuccess(3*time.Second, []string{"b"})
-	table.RecordCrashOf(4*time.Second, "i-3 a", "a", 3*time.Second, 4*time.Second)
-	exported := table.Export(5*time.Second, 10)
+	suspected := Import(time.Hour, table.Export(4*s, 10))
+	record(suspected, time.Hour, "a", time.Hour-time.Second, time.Hour-100*time.Millisecond)
+	record(suspected, time.Hour+s, "a", time.Hour+200*time.Millisecond, time.Hour+300*time.Millisecond)
+	if q, known := suspected.Lookup(time.Hour+s, "a"); !known || !q.Suspect {
+		t.Errorf("a repeated report after an import: %+v, %v", q, known)
+	}
+	record(suspected, time.Hour+2*s, "a", time.Hour+s, time.Hour+2*s)
+	if q, known := suspected.Lookup(time.Hour+2*s, "a"); !known || q.Suspect {
+		t.Errorf("the third crash after an import: %+v, %v", q, known)
+	}
+	table.RecordSuccess(4*s, []string{"b"})
+	// A crash between the two counted ones, reported late.
+	record(table, 5*s, "a", 2*s, 2100*time.Millisecond)
+	exported := table.Export(5*s, 10)
 	if len(exported) != 1 || exported[0].Suspect {
 		t.Fatalf("after three crashes: %+v, want a quarantined", exported)
 	}
@@ -134,9 +152,9 @@
 // requests were in flight at several servers that were cut off at the same time.
 func TestConcurrentCrashes(t *testing.T) {
 	table := NewTable()
-	for i, server := range []string{"i-1", "i-2", "i-3", "i-4"} {
+	for i := range 4 {
 		crashed := 10*time.Second + time.Duration(i)*300*time.Millisecond
-		table.RecordCrashOf(crashed+time.Second, server+" a", "a", 9*time.Second, crashed)
+		table.RecordCrashOf(crashed+time.Second, "a", Attempt{Sent: 9 * time.Second, Crashed: crashed})
 	}
 	if exported := table.Export(20*time.Second, 10); len(exported) > 0 {
 		t.Errorf("exported %+v after one failure", exported)
--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/quarantine"
 	"go.uber.org/zap"
 )
 
@@ -11,7 +12,7 @@
 	// crashReportTimeout limits one delivery attempt, and crashRetryInterval is the
 	// delay before the next one. All attempts together take longer than the two
 	// seconds or so in which the group elects a new leader.
-	crashReportTimeout = 500 * time.Millisecond
+	crashReportTimeout = quarantine.MaxAgeError
 	crashRetryInterval = 700 * time.Millisecond
 	maxCrashAttempts   = 5
 )
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -151,10 +151,9 @@
 	SentAgo, BegunAgo time.Duration
 }
 
-// Crash identifies one request, by its digest, that was in flight when an instance of a
-// backend server crashed. Server is the id of the instance; after a restart the server
-// has another one.
+// Crash is one request, by its digest, that was in flight when a backend server crashed.
 type Crash struct {
+	// Server is the id of the server, which may start again under the same one.
 	Server, Digest string
 	// SentAgo is the age of the request and CrashedAgo that of the crash when the
 	// report was sent.
--- a/fleet/serverlist.go
+++ b/fleet/serverlist.go
@@ -142,7 +142,7 @@
 		l.suspects = quarantine.Import(now, ageQuarantined(l.quarantined, now-l.quarantinedAt))
 	}
 	for _, c := range r.Crashes {
-		l.suspects.RecordCrashOf(now, c.Server+" "+c.Digest, c.Digest, now-c.SentAgo, now-c.CrashedAgo)
+		l.suspects.RecordCrashOf(now, c.Digest, quarantine.Attempt{Sent: now - c.SentAgo, Crashed: now - c.CrashedAgo})
 	}
 	l.suspects.RecordSuccess(now, r.Cleared)
 	quarantined := l.suspects.Export(now, maxQuarantined)
