Tell crashes of one server apart where parts of prompts are suspected

A part that crashes servers was counted once for each server id, and a later crash of such a server was taken for one that a held part explains, whatever its cause.

Change: a crash is a server and a time. A report is about a known crash of its server if its request was sent before that crash; crashes that different tables know are one if they are at most 1.75 s apart, which covers the time until an entry notices a crash (1.5 s) and the error of its report. The oldest crash of a part makes room for a new one; 12 are kept instead of 16, so that a reply with times stays below 128 KiB.

TestPartVerdicts, on the old code: "one server that keeps its id", the same with a part that was sound, and "a later crash of another cause at a server whose crash was explained" failed.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -23,14 +23,17 @@
 	// MaxPartsPerCrash limits the parts of one request that a crash report names.
 	MaxPartsPerCrash = 64
 	maxParts         = 2048
-	// maxServersPerPart limits the crashed servers that are kept for a part.
-	maxServersPerPart = 16
+	// maxCrashesPerPart limits the crashes that are kept for a part.
+	maxCrashesPerPart = 12
+	// maxNoticeDelay is the longest time after which an entry notices that a server crashed,
+	// with the error of its report. A server takes longer to come back and crash again.
+	maxNoticeDelay = 1500*time.Millisecond + MaxAgeError
 )
 
 // PartCrash is a request whose answer had not begun when its server crashed. Any one of
 // its parts may be the cause.
 type PartCrash struct {
-	// Server is the instance of the server. After a restart it has another one.
+	// Server is the id of the server, which may start again under the same one.
 	Server string
 	Parts  []string
 	// Sound are those of Parts on which the reporter saw answers begin before.
@@ -41,7 +44,7 @@
 // part is the record of one part.
 type part struct {
 	PartStatus
-	// counted tells for each server in Servers whether its crash is in Crashes.
+	// counted tells for each crash in ServerCrashes whether it is in Crashes.
 	counted []bool
 	// lastCounted is the time of the last crash that is in Crashes.
 	lastCounted time.Duration
@@ -113,9 +116,11 @@
 	explained := false
 	for _, id := range c.Parts {
 		if p := t.records[id]; p != nil && p.refuses(c.Parts) {
-			p.addServer(c.Server, false)
+			if p.find(c) < 0 {
+				p.addCrash(c.serverCrash(), false)
+			}
 			p.LastCrash, p.lastCounted = max(p.LastCrash, c.Crashed), max(p.lastCounted, c.Crashed)
-			t.explain(c.Server, c.Crashed)
+			t.explain(c.serverCrash())
 			explained = true
 		}
 	}
@@ -123,7 +128,7 @@
 		return true
 	}
 	for _, p := range t.records {
-		if p.State == PartHeld && slices.Contains(p.Servers, c.Server) {
+		if p.State == PartHeld && p.find(c) >= 0 {
 			return true
 		}
 	}
@@ -153,13 +158,13 @@
 func (p *part) count(now time.Duration, c PartCrash) {
 	p.LastCrash, p.changedAt = max(p.LastCrash, c.Crashed), now
 	counts := c.Sent >= p.lastCounted
-	if i := slices.Index(p.Servers, c.Server); i >= 0 {
+	if i := p.find(c); i >= 0 {
 		if p.counted[i] || !counts {
 			return
 		}
 		p.counted[i] = true
 	} else {
-		p.addServer(c.Server, counts)
+		p.addCrash(c.serverCrash(), counts)
 	}
 	if counts {
 		p.Crashes++
@@ -182,12 +187,29 @@
 	return true
 }
 
-func (p *part) addServer(server string, counted bool) {
-	if len(p.Servers) < maxServersPerPart && !slices.Contains(p.Servers, server) {
-		p.Servers, p.counted = append(slices.Clip(p.Servers), server), append(p.counted, counted)
+// addCrash adds a crash. If there are too many, it replaces the oldest one that is not
+// counted, or the oldest.
+func (p *part) addCrash(c ServerCrash, counted bool) {
+	if len(p.ServerCrashes) >= maxCrashesPerPart {
+		p.removeCrash(max(0, slices.Index(p.counted, false)))
 	}
+	p.ServerCrashes, p.counted = append(slices.Clip(p.ServerCrashes), c), append(p.counted, counted)
+}
+
+func (p *part) removeCrash(i int) {
+	p.ServerCrashes, p.counted = slices.Delete(slices.Clone(p.ServerCrashes), i, i+1), slices.Delete(p.counted, i, i+1)
 }
 
+// find returns the index of the crash that a report is about, -1 if it is not known.
+func (p *part) find(c PartCrash) int {
+	return slices.IndexFunc(p.ServerCrashes, func(known ServerCrash) bool {
+		return known.Server == c.Server && c.Sent < known.At+MaxAgeError && known.At <= c.Crashed+maxNoticeDelay
+	})
+}
+
+// has reports whether the part was under way at a crash.
+func (p *part) has(c ServerCrash) bool { return slices.ContainsFunc(p.ServerCrashes, c.isSame) }
+
 // refuses reports whether requests with these parts are refused because of p.
 func (p *part) refuses(ids []string) bool {
 	return p.State == PartHeld && slices.Contains(ids, p.ID) &&
@@ -210,8 +232,8 @@
 
 // coversCrashesOf reports whether p was under way at all crashes that count for other.
 func (p *part) coversCrashesOf(other *part) bool {
-	for i, server := range other.Servers {
-		if other.counted[i] && !slices.Contains(p.Servers, server) {
+	for i, crash := range other.ServerCrashes {
+		if other.counted[i] && !p.has(crash) {
 			return false
 		}
 	}
@@ -236,26 +258,25 @@
 		held = append(held, p.PartStatus)
 	}
 	for _, p := range guilty {
-		for _, server := range p.Servers {
-			t.explain(server, p.LastCrash)
+		for _, crash := range p.ServerCrashes {
+			t.explain(crash)
 		}
 	}
 	return held
 }
 
 // explain removes a crash from all suspects. Those without another one are cleared.
-func (t *Parts) explain(server string, crashed time.Duration) {
+func (t *Parts) explain(crash ServerCrash) {
 	for _, p := range t.records {
-		i := slices.Index(p.Servers, server)
+		i := slices.IndexFunc(p.ServerCrashes, crash.isSame)
 		if p.State != PartSuspected || i < 0 {
 			continue
 		}
 		if p.counted[i] {
 			p.Crashes--
 		}
-		p.Servers, p.counted = slices.Delete(slices.Clone(p.Servers), i, i+1), slices.Delete(p.counted, i, i+1)
-		if len(p.Servers) == 0 {
-			p.clear(max(p.LastCrash, crashed))
+		if p.removeCrash(i); len(p.ServerCrashes) == 0 {
+			p.clear(max(p.LastCrash, crash.At))
 		}
 	}
 }
@@ -307,7 +328,7 @@
 		switch {
 		case p.State == PartHeld && now >= p.Until:
 			p.State, p.changedAt, p.Crashes = PartSuspected, now, partCrashes-1
-			p.Servers, p.counted, p.Sound, p.With = nil, nil, false, nil
+			p.ServerCrashes, p.counted, p.Sound, p.With = nil, nil, false, nil
 			ended = append(ended, p.PartStatus)
 		case p.State == PartSuspected && now-p.changedAt > partSuspectTTL, p.State == PartCleared && now-p.changedAt > clearedTTL:
 			delete(t.records, id)
--- a/core/quarantine/parts_test.go
+++ b/core/quarantine/parts_test.go
@@ -72,6 +72,21 @@
 			{firstHold, "", "", 0, false, "a!"}, {firstHold + 3*s, "", "", 0, false, "a?"},
 			{firstHold + 4*s, "3", "a", 300 * ms, false, "a!"}, {3*firstHold + 3*s, "", "", 0, false, "a!"},
 			{3*firstHold + 5*s, "", "", 0, false, "a?"}},
+		"one server that keeps its id": {
+			{1 * s, "1", "a d", 30 * ms, false, "a? d?"}, {4500 * ms, "1", "b d", 30 * ms, false, "a- b- d!"}},
+		"one server that keeps its id, a sound part that becomes harmful": {
+			{1 * s, "1", "a+", 30 * ms, false, "a?"}, {4 * s, "1", "a+", 30 * ms, false, "a?"},
+			{7 * s, "1", "a+", 30 * ms, false, "a?"}, {10 * s, "1", "a+", 30 * ms, false, "a!"}},
+		"late reports of one crash, other requests with the part": {
+			{1000 * ms, "1", "a d", 30 * ms, false, "a? d?"}, {1200 * ms, "1", "b d", 30 * ms, false, "a? b? d?"},
+			{1100 * ms, "1", "c d", 30 * ms, false, "a? b? c? d?"}},
+		"a later crash of another cause at a server whose crash was explained": {
+			{1 * s, "1", "d", 30 * ms, false, "d?"}, {4 * s, "2", "d", 30 * ms, false, "d!"},
+			{8 * s, "2", "a", 30 * ms, false, "a? d!"}, {12 * s, "2", "a", 30 * ms, false, "a! d!"}},
+		"a failure domain lost twice, servers keep their ids": {
+			{1000 * ms, "1", "a+", 30 * ms, false, "a?"}, {1100 * ms, "2", "a+", 130 * ms, false, "a?"},
+			{3500 * ms, "", "a", 30 * ms, true, "a-"}, {5000 * ms, "1", "a+", 30 * ms, false, "a?"},
+			{5100 * ms, "2", "a+", 130 * ms, false, "a?"}, {8 * s, "", "a", 30 * ms, true, "a-"}},
 		"a suspicion is forgotten": {
 			{1 * s, "1", "a", 300 * ms, false, "a?"}, {partSuspectTTL + 2*s, "2", "a", 300 * ms, false, "a?"}},
 	} {
--- a/core/quarantine/partstatus.go
+++ b/core/quarantine/partstatus.go
@@ -34,19 +34,47 @@
 	// With lists the parts that were under way at the same crashes, so that any of them may
 	// be the cause. Only requests with all of them are refused.
 	With []string
-	// Servers are the instances of backend servers that crashed with the part under way.
-	Servers []string
+	// ServerCrashes are the crashes at which the part was under way.
+	ServerCrashes []ServerCrash
 	// LastCrash is the time of the last crash, Until the end of the hold, and ClearedAt
 	// the time of the evidence that cleared the part.
 	LastCrash, Until, ClearedAt time.Duration
 }
 
+// ServerCrash is one crash of a server. A server may crash several times under one id.
+type ServerCrash struct {
+	Server string
+	At     time.Duration
+}
+
+// isSame reports whether two crashes are one, seen by different entries.
+func (c ServerCrash) isSame(other ServerCrash) bool {
+	return c.Server == other.Server && (c.At-other.At).Abs() <= maxNoticeDelay
+}
+
+// serverCrash returns the crash that the report is about.
+func (c PartCrash) serverCrash() ServerCrash { return ServerCrash{Server: c.Server, At: c.Crashed} }
+
 // Relative returns the status with its times relative to now.
 func (s PartStatus) Relative(now time.Duration) PartStatus {
 	s.LastCrash, s.Until, s.ClearedAt = s.LastCrash-now, s.Until-now, s.ClearedAt-now
+	crashes := make([]ServerCrash, len(s.ServerCrashes))
+	for i, c := range s.ServerCrashes {
+		crashes[i] = ServerCrash{Server: c.Server, At: c.At - now}
+	}
+	s.ServerCrashes = crashes
 	return s
 }
 
+// Servers returns the ids of the servers that crashed, once for each crash.
+func (s PartStatus) Servers() []string {
+	ids := make([]string, len(s.ServerCrashes))
+	for i, c := range s.ServerCrashes {
+		ids[i] = c.Server
+	}
+	return ids
+}
+
 // Absolute reverses Relative.
 func (s PartStatus) Absolute(now time.Duration) PartStatus { return s.Relative(-now) }
 
@@ -97,8 +125,10 @@
 	}
 	before := p.State
 	p.Sound, p.Holds = p.Sound || s.Sound, max(p.Holds, s.Holds)
-	for _, server := range s.Servers {
-		p.addServer(server, true)
+	for _, crash := range s.ServerCrashes {
+		if !p.has(crash) {
+			p.addCrash(crash, true)
+		}
 	}
 	p.Crashes = max(p.Crashes, s.Crashes)
 	p.LastCrash, p.lastCounted = max(p.LastCrash, s.LastCrash), max(p.lastCounted, s.LastCrash)
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -98,7 +98,7 @@
 
 // LogPart logs the state of a part of prompts after a change.
 func LogPart(logger *zap.Logger, now time.Duration, s quarantine.PartStatus) {
-	fields := []zap.Field{zap.String("part", s.ID), zap.Int("crashes", s.Crashes), zap.Strings("crashed_servers", s.Servers),
+	fields := []zap.Field{zap.String("part", s.ID), zap.Int("crashes", s.Crashes), zap.Strings("crashed_servers", s.Servers()),
 		zap.Bool("begun_before", s.Sound), zap.Strings("only_with", s.With)}
 	switch s.State {
 	case quarantine.PartHeld:
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -68,7 +68,7 @@
 
 func heldPart(id string) quarantine.PartStatus {
 	now := fleet.SinceBoot()
-	return quarantine.PartStatus{ID: id, State: quarantine.PartHeld, Crashes: 2, Holds: 1, Servers: []string{"1", "2"},
+	return quarantine.PartStatus{ID: id, State: quarantine.PartHeld, Crashes: 2, Holds: 1, ServerCrashes: []quarantine.ServerCrash{{Server: "1"}, {Server: "2"}},
 		LastCrash: now, Until: now + time.Minute}
 }
 
@@ -132,7 +132,7 @@
 func TestSuspectedPartsGoToOneServer(t *testing.T) {
 	servers := []*testServer{newTestServer(t, echo), newTestServer(t, echo), newTestServer(t, echo), newTestServer(t, echo)}
 	h, reporter := newPartHarness(t, servers...)
-	h.publish(quarantine.PartStatus{ID: "d", State: quarantine.PartSuspected, Crashes: 2, Servers: []string{"1", "2"},
+	h.publish(quarantine.PartStatus{ID: "d", State: quarantine.PartSuspected, Crashes: 2, ServerCrashes: []quarantine.ServerCrash{{Server: "1"}, {Server: "2"}},
 		LastCrash: fleet.SinceBoot() + time.Hour})
 	used := func() (count int) {
 		for _, s := range servers {
--- a/operator/parts.go
+++ b/operator/parts.go
@@ -60,7 +60,7 @@
 			heldFor = s.Until.Round(time.Second).String()
 		}
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\t%s\t%s\n", s.ID, partStates[s.State], s.Crashes,
-			(-s.LastCrash).Round(time.Second), heldFor, cmp.Or(strings.Join(s.With, " "), "-"), strings.Join(s.Servers, " "))
+			(-s.LastCrash).Round(time.Second), heldFor, cmp.Or(strings.Join(s.With, " "), "-"), strings.Join(s.Servers(), " "))
 	}
 	return errors.Wrap(w.Flush(), "print the parts")
 }
