Forget notices of a server that started again under its id

A server that started again under its id got no request from that entry.

A list that does not name starts keeps the old behaviour.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// Server is one instance of a backend server, from its start to its end.
+// Server is a backend server.
 type Server struct {
-	// ID identifies the instance. Another process at the same address has another
-	// ID.
+	// ID identifies the server. Another server at the same address has another ID, but a
+	// server may start again under its own.
 	ID            string
 	Service       string
 	Address       string
@@ -21,8 +21,15 @@
 	// ColdFor is the remaining time during which the server is slow after its
 	// start.
 	ColdFor time.Duration
+	// StartedAt is when the server's process started, in Unix milliseconds of the platform's
+	// clock, 0 if unknown.
+	StartedAt int64
 }
 
+// RestartedSince reports whether the server started again after it had started at a time
+// that was known as its StartedAt.
+func (s Server) RestartedSince(startedAt int64) bool { return startedAt > 0 && s.StartedAt > startedAt }
+
 // Load is the load that a server last reported.
 type Load struct {
 	Running, Waiting int
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -36,6 +36,8 @@
 	leaving map[string]bool
 	// services maps the servers that ever asked for rest to their services.
 	services map[string]string
+	// startedAt maps the servers with notices to their StartedAt at the last one.
+	startedAt map[string]int64
 	// malformedLogged holds the servers whose malformed rests were logged.
 	malformedLogged map[string]bool
 }
@@ -48,7 +50,7 @@
 
 func newNoticeBoard(options *Options) *noticeBoard {
 	return &noticeBoard{logger: options.Logger, rests: rest.NewTable(), leaving: map[string]bool{},
-		services: map[string]string{}, malformedLogged: map[string]bool{}, metrics: noticeMetrics{
+		services: map[string]string{}, startedAt: map[string]int64{}, malformedLogged: map[string]bool{}, metrics: noticeMetrics{
 			rests:   options.Metrics.Counters("gateway_server_rests_total", maxServices),
 			leaving: options.Metrics.Counters("gateway_server_leaving_total", maxServices),
 			refused: options.Metrics.Counter("gateway_rest_refused_total"),
@@ -63,6 +65,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.startedAt[server.ID] = server.StartedAt
 	fields := []zap.Field{zap.String("backend_server", server.ID), zap.String("service", server.Service)}
 	if n.MalformedRest != "" && !b.malformedLogged[server.ID] {
 		b.malformedLogged[server.ID] = true
@@ -137,28 +140,27 @@
 	return b.rests.RetryAfter(fleet.SinceBoot(), ids, jitter)
 }
 
-// update forgets the servers that are no longer in the list.
+// update forgets the servers that are no longer in the list, and what servers said before
+// they started again.
 func (b *noticeBoard) update(v *fleet.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.leaving)+len(b.services)+len(b.malformedLogged) == 0 {
+	if len(b.startedAt) == 0 {
 		return
 	}
-	listed := make(map[string]bool, len(v.Servers))
+	kept := make(map[string]bool, len(b.startedAt))
 	for _, server := range v.Servers {
-		listed[server.ID] = true
-	}
-	b.rests.Retain(func(id string) bool { return listed[id] })
-	for id := range b.services {
-		if !listed[id] {
-			delete(b.services, id)
+		if at, noticed := b.startedAt[server.ID]; noticed && !server.RestartedSince(at) {
+			kept[server.ID] = true
 		}
 	}
-	for _, set := range []map[string]bool{b.leaving, b.malformedLogged} {
-		for id := range set {
-			if !listed[id] {
-				delete(set, id)
-			}
+	b.rests.Retain(func(id string) bool { return kept[id] })
+	for id := range b.startedAt {
+		if !kept[id] {
+			delete(b.startedAt, id)
+			delete(b.services, id)
+			delete(b.leaving, id)
+			delete(b.malformedLogged, id)
 		}
 	}
 }
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -109,6 +109,46 @@
 	want("after a new start", 200)
 }
 
+// Guards against notices of a server that keep requests from it after it started again under
+// its id, and against the loss of a notice while the start is not known.
+func TestNoticesEndWithTheProcess(t *testing.T) {
+	for name, says := range map[string]http.HandlerFunc{
+		"leaving": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("T-Leaving", "1") },
+		"rest":    refuseForRest("60"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var restarted atomic.Bool
+			h, _ := newNoticeHarness(t, newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if !restarted.Load() {
+					says(w, r)
+				}
+			}))
+			start := func(at int64) {
+				h.fleet.set(func(f *testFleet) {
+					next := *f.view
+					next.Servers = append([]backend.Server(nil), next.Servers...)
+					next.Servers[0].StartedAt = at
+					f.view = &next
+				})
+			}
+			start(1000)
+			if _, _, _, err := h.call("/once/x"); err != nil {
+				t.Fatal(err)
+			}
+			for _, c := range []struct {
+				startedAt int64
+				status    int
+			}{{1000, 503}, {0, 503}, {900, 503}, {5000, 200}} {
+				restarted.Store(c.status == http.StatusOK)
+				start(c.startedAt)
+				if status, _, _, err := h.call("/once/x"); err != nil || status != c.status {
+					t.Errorf("listed start %d: %d %v, want %d", c.startedAt, status, err, c.status)
+				}
+			}
+		})
+	}
+}
+
 // restingReserver asks for rest at one server.
 type restingReserver struct{ asked atomic.Int64 }
 
