Serve first calls of a route during a stop, and expect the slowest pace after it

A stopping entry that had seen no call of a route refused its calls on routes that allow longer than the drain, although most are quick. It now expects such a call to take at most ten latency objectives of its route. After the notice, the longest answer that a caller accepts is computed with the slowest pace among the last hundred generations instead of the pace that nine of ten have.

Tests: TestStopServesTheFirstCallOfARoute (503 before), TestPace, TestRecent.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -78,7 +78,7 @@
 		{12, 7 * time.Second, true}, {936, 7 * time.Second, false}, {0, 7 * time.Second, true},
 		{0, time.Second, false}, {300, 5 * time.Second, true}, {590, 6 * time.Second, false},
 	} {
-		need := Need{Limit: time.Minute, Expected: new(Pace).Estimate(0, c.tokens)}
+		need := Need{Limit: time.Minute, Expected: new(Pace).Expected(0, c.tokens)}
 		if got := (Drain{NoticeEnd: time.Second, Deadline: c.remaining}).Allows(0, 0, need); got != c.want {
 			t.Errorf("%d tokens in %v: %v", c.tokens, c.remaining, got)
 		}
@@ -134,27 +134,34 @@
 		{"longer prompt", &slow, 3000, 200, 14 * time.Second},
 		{"tokens unknown", &undeclared, 1000, 200, 4 * time.Second},
 	} {
-		if got := c.pace.Estimate(c.prompt, c.tokens); got != c.want {
+		if got := c.pace.Expected(c.prompt, c.tokens); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
+	slow.Observe(1000, 100, 4*time.Second, 6*time.Second)
+	if expected, longest := slow.Expected(1000, 200), slow.Longest(1000, 200); expected != 10*time.Second || longest != 16*time.Second {
+		t.Errorf("after one slow generation: %v expected, %v at the longest", expected, longest)
+	}
 }
 
 // TestRecent guards against bounds that trust a few observations, and against old
 // observations that are never forgotten.
 func TestRecent(t *testing.T) {
 	var r Recent
-	if r.Bound() != 0 || r.Quantile(0.9) != 0 {
+	if r.Bound(0) != 0 || r.Quantile(0.9) != 0 {
 		t.Error("durations without an observation")
 	}
+	if got := r.Bound(150 * time.Millisecond); got != 1500*time.Millisecond {
+		t.Errorf("bound without an observation: %v", got)
+	}
 	r.Observe(time.Second)
-	if got := r.Bound(); got < 5*time.Second {
+	if got := r.Bound(time.Minute); got < 5*time.Second {
 		t.Errorf("bound after one observation: %v", got)
 	}
 	for range maxRecent {
 		r.Observe(20 * time.Millisecond)
 	}
-	if got := r.Bound(); got < 20*time.Millisecond || got > 30*time.Millisecond {
+	if got := r.Bound(time.Minute); got < 20*time.Millisecond || got > 30*time.Millisecond {
 		t.Errorf("bound after %d quick calls: %v", maxRecent, got)
 	}
 }
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -48,8 +48,10 @@
 	minTimeToFirstToken = 500 * time.Millisecond
 	// defaultTokens is the assumed length of a generation without an estimate.
 	defaultTokens = 600
-	// paceQuantile is the quantile of observed paces that estimates use.
-	paceQuantile = 0.9
+	// expectedQuantile and longestQuantile are the quantiles of observed paces with which the
+	// expected and the longest time of a generation are computed.
+	expectedQuantile = 0.9
+	longestQuantile  = 1
 )
 
 // Pace is how fast the generations of a route were. The zero value knows only the pace of
@@ -69,17 +71,27 @@
 	}
 }
 
-// Estimate returns the time that a generation takes. A prompt that is longer than those
+// Expected returns the time that a generation of so many tokens is expected to take.
+func (p *Pace) Expected(promptTokens, tokens int) time.Duration {
+	return p.estimate(promptTokens, tokens, expectedQuantile)
+}
+
+// Longest returns the time that a generation of so many tokens takes at the slowest pace.
+func (p *Pace) Longest(promptTokens, tokens int) time.Duration {
+	return p.estimate(promptTokens, tokens, longestQuantile)
+}
+
+// estimate returns the time that a generation takes. A prompt that is longer than those
 // observed takes proportionally longer to prefill.
-func (p *Pace) Estimate(promptTokens, tokens int) time.Duration {
+func (p *Pace) estimate(promptTokens, tokens int, quantile float64) time.Duration {
 	if tokens <= 0 {
 		tokens = defaultTokens
 	}
-	first := max(minTimeToFirstToken, p.firstToken.Quantile(paceQuantile))
+	first := max(minTimeToFirstToken, p.firstToken.Quantile(quantile))
 	if p.promptTokens > 0 && promptTokens > p.promptTokens {
 		first = time.Duration(float64(first) * float64(promptTokens) / float64(p.promptTokens))
 	}
-	return first + time.Duration(tokens)*max(minTimePerToken, p.perToken.Quantile(paceQuantile))
+	return first + time.Duration(tokens)*max(minTimePerToken, p.perToken.Quantile(quantile))
 }
 
 const (
@@ -87,6 +99,9 @@
 	maxRecent = 100
 	// unseenWeight widens a bound by the share of durations that were not yet seen.
 	unseenWeight = 10
+	// unseenObjectives is the number of latency objectives that a call is expected to take at
+	// most if none was seen.
+	unseenObjectives = 10
 )
 
 // Recent holds the latest durations of one kind.
@@ -114,11 +129,12 @@
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-// Bound returns a duration that few others of the kind exceed, 0 if there are none. It lies
-// further above the longest one the fewer there are.
-func (r *Recent) Bound() time.Duration {
+// Bound returns a duration that few others of the kind exceed. It lies further above the
+// longest one the fewer there are. Without any, it follows from the latency objective of the
+// route, and is 0 if there is none.
+func (r *Recent) Bound(objective time.Duration) time.Duration {
 	if len(r.durations) == 0 {
-		return 0
+		return unseenObjectives * objective
 	}
 	n := time.Duration(len(r.durations))
 	return slices.Max(r.durations) * (n + unseenWeight) / n
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -46,11 +46,16 @@
 
 // setTimeout sets the timeout of all routes.
 func (h *harness) setTimeout(timeout time.Duration) {
+	h.changeRoutes(func(r *desired.Route) { r.Timeout = timeout })
+}
+
+// changeRoutes changes all routes.
+func (h *harness) changeRoutes(change func(*desired.Route)) {
 	h.fleet.set(func(f *testFleet) {
 		state := *f.view.Table.State
 		state.Routes = append([]desired.Route(nil), state.Routes...)
 		for i := range state.Routes {
-			state.Routes[i].Timeout = timeout
+			change(&state.Routes[i])
 		}
 		view := *f.view
 		view.Table, view.Version = desired.NewTable(&state), view.Version+1
@@ -155,6 +160,23 @@
 	}
 }
 
+// Guards against refusals of quick calls by an entry that has just started, which saw no call
+// of the route yet.
+func TestStopServesTheFirstCallOfARoute(t *testing.T) {
+	for _, c := range []struct {
+		objective time.Duration
+		status    int
+	}{{0, 503}, {50 * time.Millisecond, 200}, {time.Second, 503}} {
+		h, _ := newStopHarness(t)
+		h.changeRoutes(func(r *desired.Route) { r.Objective = c.objective })
+		conn := h.connect("/once/x")
+		h.stop()
+		if response, err := conn.call("/twice/x", "quick"); err != nil || response.StatusCode != c.status {
+			t.Errorf("objective %v: %v %v, want %d", c.objective, response, err, c.status)
+		}
+	}
+}
+
 // Guards against connections that are closed without an answer at the end of a stop.
 func TestStopAnswersCallsThatItCutsOff(t *testing.T) {
 	h, _ := newStopHarness(t)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -101,15 +101,16 @@
 func (x *exchange) need() dispatch.Need {
 	need := dispatch.Need{Limit: x.remaining()}
 	if x.route.Kind != desired.Stream {
-		need.Expected = x.g.times.callBound(x.route.Name)
+		need.Expected = x.g.times.callBound(x.route)
 		if !x.sentAt.IsZero() && need.Expected > 0 {
 			need.Expected = max(need.Expected, time.Since(x.sentAt))
 		}
 		return need
 	}
-	need.Expected = x.g.times.generation(x.route.Name, x.metadata.PromptTokens, x.p90Tokens)
-	if x.metadata.MaxTokens > 0 {
-		need.Longest = x.g.times.generation(x.route.Name, x.metadata.PromptTokens, x.metadata.MaxTokens)
+	m := x.metadata
+	need.Expected, need.Longest = x.g.times.generation(x.route.Name, m.PromptTokens, x.p90Tokens, m.MaxTokens)
+	if m.MaxTokens <= 0 {
+		need.Longest = 0
 	}
 	return need
 }
--- a/gateway/lengths.go
+++ b/gateway/lengths.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/length"
 )
@@ -101,14 +102,11 @@
 	t.route(route).calls.Observe(d)
 }
 
-// callBound returns the time that few calls of a route exceed, 0 if none was observed.
-func (t *timePredictor) callBound(route string) time.Duration {
+// callBound returns the time that few calls of a route exceed, 0 if it is unknown.
+func (t *timePredictor) callBound(route *desired.Route) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.routes[route]; r != nil {
-		return r.calls.Bound()
-	}
-	return 0
+	return t.known(route.Name).calls.Bound(route.Objective)
 }
 
 // observeGeneration records how long a complete generation took. The number of tokens is 0
@@ -119,13 +117,19 @@
 	t.route(route).pace.Observe(promptTokens, tokens, toFirstToken, afterFirstToken)
 }
 
-// generation returns the time that a generation of a route takes.
-func (t *timePredictor) generation(route string, promptTokens, tokens int) time.Duration {
+// generation returns the expected time of a generation of a route with an output of so many
+// tokens, and the longest time of one with maxTokens.
+func (t *timePredictor) generation(route string, promptTokens, tokens, maxTokens int) (expected, longest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.routes[route]
-	if r == nil {
-		r = &routeTimes{}
+	pace := &t.known(route).pace
+	return pace.Expected(promptTokens, tokens), pace.Longest(promptTokens, maxTokens)
+}
+
+// known returns the times of a route, which may be empty. The caller holds t.mu.
+func (t *timePredictor) known(name string) *routeTimes {
+	if r := t.routes[name]; r != nil {
+		return r
 	}
-	return r.pace.Estimate(promptTokens, tokens)
+	return &routeTimes{}
 }
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -172,7 +172,7 @@
 
 // fitsDrain reports whether a generation of so many tokens ends within the remaining time.
 func fitsDrain(tokens int, remaining time.Duration) bool {
-	return new(dispatch.Pace).Estimate(0, tokens) <= remaining
+	return new(dispatch.Pace).Expected(0, tokens) <= remaining
 }
 
 // Guards against a draining entry that accepts generations much longer than predicted
