Compute the pace of generations from the tokens after the first event

The tokens of the first event arrive with it, so counting them made engines look faster than they are; an output without events counted as one without delay. The two entries share the deadline of a drain without a limit.

--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -1,10 +1,14 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
+// NoDeadline is the deadline of a drain that lasts until no request remains.
+const NoDeadline time.Duration = math.MaxInt64
+
 // Drain is the planned stop of an entry. Its times are in the same clock as those of the
 // requests that it is asked about.
 type Drain struct {
@@ -58,16 +62,17 @@
 // a common engine, which estimates never fall below.
 type Pace struct {
 	firstToken, perToken Recent
-	// promptTokens is the longest prompt among the latest observations.
+	// promptTokens is the longest prompt that was observed.
 	promptTokens int
 }
 
-// Observe records a complete generation. The number of tokens is 0 if it is unknown.
-func (p *Pace) Observe(promptTokens, tokens int, toFirstToken, afterFirstToken time.Duration) {
-	p.firstToken.Observe(toFirstToken)
+// Observe records a complete generation: the times until its first event and from then on,
+// and the number of tokens after the first event, 0 if it is unknown or there were none.
+func (p *Pace) Observe(promptTokens, laterTokens int, toFirst, afterFirst time.Duration) {
+	p.firstToken.Observe(toFirst)
 	p.promptTokens = max(p.promptTokens, promptTokens)
-	if tokens > 0 {
-		p.perToken.Observe(afterFirstToken / time.Duration(tokens))
+	if laterTokens > 0 {
+		p.perToken.Observe(afterFirst / time.Duration(laterTokens))
 	}
 }
 
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -17,8 +17,6 @@
 	// answered.
 	cutOffGrace       = time.Second
 	drainPollInterval = 20 * time.Millisecond
-	// noDeadline is the deadline of a drain that lasts until no request remains.
-	noDeadline = time.Duration(1<<63 - 1)
 )
 
 // StartDraining makes Ready report false from now on. Requests are served for the duration
@@ -26,7 +24,7 @@
 // are refused if they may not end before the deadline of ctx.
 func (e *Entry) StartDraining(ctx context.Context, notice time.Duration) {
 	now := time.Since(e.started)
-	drain := &dispatch.Drain{NoticeEnd: now + notice, Deadline: noDeadline}
+	drain := &dispatch.Drain{NoticeEnd: now + notice, Deadline: dispatch.NoDeadline}
 	if deadline, ok := ctx.Deadline(); ok {
 		drain.Deadline = now + time.Until(deadline)
 	}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -35,7 +35,7 @@
 // that load balancers can react, closes the listener, and then waits until no request
 // remains or ctx ends. Requests that remain then are cut off with an answer.
 func (g *Gateway) Drain(ctx context.Context, notice time.Duration, listener net.Listener) {
-	drain := &dispatch.Drain{NoticeEnd: g.elapsed() + max(0, notice-signalDelay), Deadline: noDeadline}
+	drain := &dispatch.Drain{NoticeEnd: g.elapsed() + max(0, notice-signalDelay), Deadline: dispatch.NoDeadline}
 	if deadline, ok := ctx.Deadline(); ok {
 		drain.Deadline = g.elapsed() + time.Until(deadline)
 	}
@@ -55,9 +55,6 @@
 	g.logger.Info("drained", zap.Int64("requests_left", left))
 }
 
-// noDeadline is the deadline of a drain that lasts until no request remains.
-const noDeadline = time.Duration(1<<63 - 1)
-
 // closeIdle makes idle connections close at a time, and returns the number of
 // connections that are still open.
 func (g *Gateway) closeIdle(at time.Time) int {
--- a/gateway/lengths.go
+++ b/gateway/lengths.go
@@ -109,12 +109,11 @@
 	return t.known(route.Name).calls.Bound(route.Objective)
 }
 
-// observeGeneration records how long a complete generation took. The number of tokens is 0
-// if it is unknown.
-func (t *timePredictor) observeGeneration(route string, promptTokens, tokens int, toFirstToken, afterFirstToken time.Duration) {
+// observeGeneration records how long a complete generation took, see dispatch.Pace.
+func (t *timePredictor) observeGeneration(route string, promptTokens, laterTokens int, toFirst, afterFirst time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.route(route).pace.Observe(promptTokens, tokens, toFirstToken, afterFirstToken)
+	t.route(route).pace.Observe(promptTokens, laterTokens, toFirst, afterFirst)
 }
 
 // generation returns the expected time of a generation of a route with an output of so many
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -50,7 +50,8 @@
 
 func newNoticeBoard(options *Options) *noticeBoard {
 	return &noticeBoard{logger: options.Logger, rests: rest.NewTable(), leaving: map[string]bool{},
-		services: map[string]string{}, startedAt: map[string]int64{}, malformedLogged: map[string]bool{}, metrics: noticeMetrics{
+		services: map[string]string{}, startedAt: map[string]int64{}, malformedLogged: map[string]bool{},
+		metrics: noticeMetrics{
 			rests:   options.Metrics.Counters("gateway_server_rests_total", maxServices),
 			leaving: options.Metrics.Counters("gateway_server_leaving_total", maxServices),
 			refused: options.Metrics.Counter("gateway_rest_refused_total"),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -157,13 +157,15 @@
 // observeLength records the length of a complete output and how long it took. Without a
 // declared number of tokens per event, the length in tokens is unknown and not recorded.
 func (x *exchange) observeLength(events int, timing *eventTiming) {
-	service, tokens := x.g.table().Service(x.service), 0
+	service, eventTokens := x.g.table().Service(x.service), 0
 	if service != nil && service.Engine != nil && service.Engine.EventTokens > 0 {
-		tokens = events * service.Engine.EventTokens
-		x.g.lengths.observe(x.route.Name, x.metadata, tokens)
+		eventTokens = service.Engine.EventTokens
+		x.g.lengths.observe(x.route.Name, x.metadata, events*eventTokens)
+	}
+	if events > 0 {
+		x.g.times.observeGeneration(x.route.Name, x.metadata.PromptTokens, (events-1)*eventTokens, timing.firstEvent,
+			timing.lastEvent.Sub(x.r.arrived)-timing.firstEvent)
 	}
-	toFirst := timing.firstEvent
-	x.g.times.observeGeneration(x.route.Name, x.metadata.PromptTokens, tokens, toFirst, timing.lastEvent.Sub(x.r.arrived)-toFirst)
 }
 
 // logEnd logs a complete response. Late responses have a log message of their own,
@@ -251,6 +253,7 @@
 
 func (x *exchange) logBroken(ctx context.Context, u *upstream, events *eventReader, err, resumeErr error) {
 	x.logger.Info("stream broken off by its server", zap.String("backend_server", u.server.ID),
-		zap.Int("events", events.count), zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil), zap.Bool("entry_stops", isStopping(ctx)),
-		zap.NamedError("cause", err), zap.Bool("resumed", resumeErr == nil), zap.NamedError("resume_error", resumeErr))
+		zap.Int("events", events.count), zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil),
+		zap.Bool("entry_stops", isStopping(ctx)), zap.NamedError("cause", err),
+		zap.Bool("resumed", resumeErr == nil), zap.NamedError("resume_error", resumeErr))
 }
