Expect the pace that a route allows where none was seen during a stop

After its notice, a stopping entry that had seen no generation of a route took one whose longest answer fits at the pace of a common engine, and would cut it on slower engines. It now expects the first event at the route's objective and its longest pause before each other one. The service is chosen at admission, where the number of tokens in an event is needed.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -139,9 +139,12 @@
 		}
 	}
 	slow.Observe(1000, 100, 4*time.Second, 6*time.Second)
-	if expected, longest := slow.Expected(1000, 200), slow.Longest(1000, 200); expected != 10*time.Second || longest != 16*time.Second {
+	if expected, longest := slow.Expected(1000, 200), slow.Longest(1000, 200, time.Minute); expected != 10*time.Second || longest != 16*time.Second {
 		t.Errorf("after one slow generation: %v expected, %v at the longest", expected, longest)
 	}
+	if longest := undeclared.Longest(1000, 200, 10*time.Second); longest != 10*time.Second {
+		t.Errorf("with the pace that the route allows: %v", longest)
+	}
 }
 
 // TestRecent guards against bounds that trust a few observations, and against old
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -81,9 +81,14 @@
 	return p.estimate(promptTokens, tokens, expectedQuantile)
 }
 
-// Longest returns the time that a generation of so many tokens takes at the slowest pace.
-func (p *Pace) Longest(promptTokens, tokens int) time.Duration {
-	return p.estimate(promptTokens, tokens, longestQuantile)
+// Longest returns the time that a generation of so many tokens takes at the slowest pace. It
+// is at least slowest, the time at the pace that the route allows, if none was observed.
+func (p *Pace) Longest(promptTokens, tokens int, slowest time.Duration) time.Duration {
+	longest := p.estimate(promptTokens, tokens, longestQuantile)
+	if len(p.perToken.durations) == 0 {
+		longest = max(longest, slowest)
+	}
+	return longest
 }
 
 // estimate returns the time that a generation takes. A prompt that is longer than those
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -105,7 +105,7 @@
 		return need
 	}
 	m := x.metadata
-	need.Expected, need.Longest = x.g.times.generation(x.route.Name, m.PromptTokens, x.p90Tokens, m.MaxTokens)
+	need.Expected, need.Longest = x.g.times.generation(x.route, m.PromptTokens, x.p90Tokens, m.MaxTokens, x.eventTokens())
 	if m.MaxTokens <= 0 {
 		need.Longest = 0
 	}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"arbutusmast.example/arbutusmast/core/desired"
 )
 
 // Guards against a stop that closes connections on which a request has just arrived,
@@ -80,6 +82,26 @@
 	return m
 }
 
+// Guards against a generation that a stopping entry takes after its notice and cuts, because
+// it saw none of the route yet and engines are slower than usual.
+func TestLateGenerationAtAnUnknownPace(t *testing.T) {
+	server := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, events(1, 2)) })
+	for maxGap, status := range map[time.Duration]int{20 * time.Millisecond: 200, 500 * time.Millisecond: 503} {
+		h := newHarness(t, nil, server)
+		h.gateway.options.Dialect = maxDialect{}
+		h.setTimeout(longTimeout)
+		h.changeRoutes(func(r *desired.Route) { r.MaxGap = maxGap })
+		c := h.connect("/once/x")
+		began, _ := h.stop()
+		time.Sleep(time.Until(began.Add(testNotice)))
+		_, _ = fmt.Fprint(c, "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nT-Id: i\r\nT-Key: key\r\nT-Max: 20\r\nContent-Length: 0\r\n\r\n")
+		response, err := http.ReadResponse(c.in, nil)
+		if err != nil || response.StatusCode != status {
+			t.Errorf("pauses of up to %v: %v %v, want %d", maxGap, response, err, status)
+		}
+	}
+}
+
 // Guards against generations that a stopping entry takes after its notice, when callers can
 // know of the stop, and cuts because they grow longer than expected.
 func TestLateGenerationIsNotCutByAStop(t *testing.T) {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -83,7 +83,6 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	x.service = x.route.PickService(g.random())
 	g.services.withRetryBudget(x.service, func(b *retry.Budget) {
 		x.retrier = dispatch.New(g.elapsed(), x.route.Kind, x.route.MaxAttempts, b)
 	})
@@ -108,7 +107,7 @@
 	return timeout
 }
 
-// admit determines the route, caller and priority of the request and predicts its
+// admit determines the route, service, caller and priority of the request and predicts its
 // output length. It returns false if it rejected the request.
 func (x *exchange) admit() bool {
 	g := x.g
@@ -137,6 +136,7 @@
 			x.priority = x.caller.Priority
 		}
 	}
+	x.service = x.route.PickService(g.random())
 	x.expectedTokens, x.p90Tokens = g.lengths.predict(x.route.Name, x.metadata)
 	x.blocks = neededBlocks(x.metadata, x.expectedTokens)
 	x.deadline = x.r.arrived.Add(x.timeLimit())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -157,9 +157,8 @@
 // observeLength records the length of a complete output and how long it took. Without a
 // declared number of tokens per event, the length in tokens is unknown and not recorded.
 func (x *exchange) observeLength(events int, timing *eventTiming) {
-	service, eventTokens := x.g.table().Service(x.service), 0
-	if service != nil && service.Engine != nil && service.Engine.EventTokens > 0 {
-		eventTokens = service.Engine.EventTokens
+	eventTokens := x.eventTokens()
+	if eventTokens > 0 {
 		x.g.lengths.observe(x.route.Name, x.metadata, events*eventTokens)
 	}
 	if events > 0 {
@@ -168,6 +167,15 @@
 	}
 }
 
+// eventTokens returns the number of tokens in an event, 0 if it is not declared.
+func (x *exchange) eventTokens() int {
+	service := x.g.table().Service(x.service)
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	return max(0, service.Engine.EventTokens)
+}
+
 // logEnd logs a complete response. Late responses have a log message of their own,
 // so that log sampling, which counts by message, does not drop them.
 func (x *exchange) logEnd(u *upstream, events *eventReader, timing *eventTiming, resumes int) {
