Tests of the fleet: members that were killed keep the seeds of their start

The list of the harness is replaced once, after the first members were killed; each member now gets the list of its start.

--- a/fleet/announce_test.go
+++ b/fleet/announce_test.go
@@ -19,7 +19,7 @@
 		g.t.Fatal(err)
 	}
 	server, pool := wire.NewServer(l), wire.NewPool(nil)
-	c, err := NewControl(ControlOptions{Address: address, Seeds: func() []string { return g.seeds }, MinVoters: 3,
+	c, err := NewControl(ControlOptions{Address: address, Seeds: g.seedsOf(), MinVoters: 3,
 		Codec: testCodec{}, Directory: g.directory, Pool: pool, Dial: wire.DialTCP, Server: server, Logger: zap.NewNop(),
 		Metrics: observe.NewMetrics()})
 	if err != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -117,6 +117,13 @@
 	return ""
 }
 
+// seedsOf returns a function that returns the seeds as of now. Goroutines of a member that
+// was killed may still call it when a test has changed the seeds.
+func (g *testGroup) seedsOf() func() []string {
+	seeds := g.seeds
+	return func() []string { return seeds }
+}
+
 // start starts a member with the data folder of its previous start, or with an empty
 // one.
 func (g *testGroup) start(address string, bootstrap bool) *testMember {
@@ -138,7 +145,7 @@
 	}
 	m := &testMember{folder: folder, server: wire.NewServer(l), pool: wire.NewPool(nil), done: make(chan struct{})}
 	m.Control, err = NewControl(ControlOptions{Address: address, DataFolder: folder,
-		Seeds: func() []string { return g.seeds }, Bootstrap: bootstrap,
+		Seeds: g.seedsOf(), Bootstrap: bootstrap,
 		MinVoters: 3, Codec: testCodec{}, Directory: g.directory, Pool: m.pool,
 		Dial: wire.DialTCP, Server: m.server, Logger: zap.NewNop(), Metrics: observe.NewMetrics()})
 	if err != nil {
@@ -170,7 +177,7 @@
 // startWatcher starts the watcher of a daemon.
 func (g *testGroup) startWatcher(t *testing.T) *Watcher {
 	pool := wire.NewPool(nil)
-	w := NewWatcher(WatcherOptions{Seeds: func() []string { return g.seeds }, Codec: testCodec{},
+	w := NewWatcher(WatcherOptions{Seeds: g.seedsOf(), Codec: testCodec{},
 		Pool: pool, Logger: zap.NewNop()})
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.Run(ctx)
