Grant retries for what added up since the begin of the leader's term

A caller was refused whose server had turned the request away within milliseconds.

Cause: the leader created the grants of a service at the first request for one, with the part of the slack (0.08) that a new leader starts with, however long it had led.

A lost call: the denial came with a time to ask again and without an error.

Change: the grants of a service add up from when the leader saw its term begin. It granted nothing for the service before, so the bound on the sum, simulated by TestSumOverAllEntries with grants from the begin of a term on, is the same.

Test: TestRetryGrantsAddUpBeforeTheFirstRequest failed before ("8 retries of a service after a minute of the term, want the burst of 25").

After: TestRefusingServerDrawsNoTraffic passed 72 of 72 times, six beside each other, -race.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -285,6 +285,7 @@
 		c.copyLeaderList()
 		if status := c.node.Load().Status(); status.Role == consensus.Leader {
 			c.limits.lead(SinceBoot(), status.Term)
+			c.retries.lead(SinceBoot(), status.Term)
 			c.parts.lead(SinceBoot())
 			c.standings.lead(SinceBoot())
 		}
--- a/fleet/retries.go
+++ b/fleet/retries.go
@@ -22,21 +22,35 @@
 	// leader may have granted retries between two terms.
 	services map[string]*retry.Grants
 	term     uint64
+	// termSeen is when this member first saw that it leads in the term.
+	termSeen time.Duration
 }
 
-// acquire grants retries of requests to a service, in a term of this member's leadership.
-func (r *retryGrants) acquire(now time.Duration, term uint64, service string, n int) (granted int, again time.Duration) {
+// lead records that this member leads in a term.
+func (r *retryGrants) lead(now time.Duration, term uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.leadLocked(now, term)
+}
+
+func (r *retryGrants) leadLocked(now time.Duration, term uint64) {
 	if r.services == nil || r.term != term {
-		r.services, r.term = map[string]*retry.Grants{}, term
+		r.services, r.term, r.termSeen = map[string]*retry.Grants{}, term, now
 	}
+}
+
+// acquire grants retries of requests to a service, in a term of this member's leadership. The
+// grants of a service add up from the begin of the term, not from its first request.
+func (r *retryGrants) acquire(now time.Duration, term uint64, service string, n int) (granted int, again time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leadLocked(now, term)
 	grants := r.services[service]
 	if grants == nil {
 		if len(r.services) >= maxRetryServices {
 			return 0, time.Minute
 		}
-		grants = retry.NewGrants(now, r.slack, r.window)
+		grants = retry.NewGrants(r.termSeen, r.slack, r.window)
 		r.services[service] = grants
 	}
 	return grants.Acquire(now, n)
