Refer the ages in crash reports to a reading of the leader's clock

Found while checking: attempts are told apart by times that the leader computed from ages at the arrival of a report. A report that is held up by a link or a suspended leader, and the repetitions that its sender sends because it got no answer, arrive together with different ages, so one crash of a server counts as several, and a sound request in progress there is held back for an hour.

Test: TestHeldUpReportsOfOneCrashCountOnce, an entry whose link keeps what it sends for 2.2 s.

Change: the entry asks for a reading of the leader's clock and sends ages that refer to it, so the time of the delivery does not matter; the error is what the reading took, at most MaxAgeError. The leader ignores a report that comes later than its sender waits, or that refers to the clock of another process.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -56,8 +56,8 @@
 	Crashed time.Duration `cbor:"2,keyasint"`
 }
 
-// MaxAgeError is the largest error of a time that is computed from an age in a report: the
-// time limit for the delivery of a report.
+// MaxAgeError is the largest error of the times of an attempt: the time limit for the reading
+// of the clock to which the ages in a report refer.
 const MaxAgeError = 250 * time.Millisecond
 
 // isSeparate reports whether one of two attempts was certainly sent after the crash at which
--- a/fleet/crashes_test.go
+++ b/fleet/crashes_test.go
@@ -1,15 +1,27 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"math/rand"
+	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/core/quarantine"
+	"arbutusmast.example/arbutusmast/wire"
+	"go.uber.org/zap"
 )
 
+// recordCrashes records a report that is delivered when its ages are true.
+func recordCrashes(l *serverList, r *CrashRequest, now time.Duration) {
+	r.Reading.At = now
+	l.recordCrashes(now, r)
+}
+
 // Guards against loss of a request's crash record at a change of the leader, and against
 // counting one crash twice when several entries report it.
 func TestCrashesOutliveTheLeader(t *testing.T) {
@@ -18,7 +30,7 @@
 	// The crash of i-1 is reported twice.
 	for i, crashed := range []time.Duration{time.Second, time.Second, 2 * time.Second} {
 		now := 2*time.Second + time.Duration(i)*time.Millisecond
-		old.recordCrashes(&CrashRequest{Crashes: []Crash{{Server: []string{"i-1", "i-1", "i-2"}[i], Digest: "a",
+		recordCrashes(old, &CrashRequest{Crashes: []Crash{{Server: []string{"i-1", "i-1", "i-2"}[i], Digest: "a",
 			SentAgo: now - crashed + 30*time.Millisecond, CrashedAgo: now - crashed}}}, now)
 	}
 	var reply WatchReply
@@ -28,14 +40,14 @@
 	}
 	next.copyFrom(&View{listStamp: reply.List, quarantined: reply.Quarantine, quarantinedAt: 2 * time.Second}, 2*time.Second)
 	// The second report comes again, late, to the new leader.
-	next.recordCrashes(&CrashRequest{Crashes: []Crash{{Server: "i-2", Digest: "a", SentAgo: 430 * time.Millisecond,
+	recordCrashes(next, &CrashRequest{Crashes: []Crash{{Server: "i-2", Digest: "a", SentAgo: 430 * time.Millisecond,
 		CrashedAgo: 400 * time.Millisecond}}}, 2500*time.Millisecond)
 	reply = WatchReply{}
 	next.fillReply(&WatchRequest{}, 2500*time.Millisecond, &reply)
 	if len(reply.Quarantine) != 1 || !reply.Quarantine[0].Suspect {
 		t.Fatalf("after a repeated report: %+v, want one suspect", reply.Quarantine)
 	}
-	next.recordCrashes(&CrashRequest{Crashes: []Crash{{Server: "i-3", Digest: "a"}}}, 3*time.Second)
+	recordCrashes(next, &CrashRequest{Crashes: []Crash{{Server: "i-3", Digest: "a"}}}, 3*time.Second)
 	reply = WatchReply{}
 	next.fillReply(&WatchRequest{}, 3*time.Second, &reply)
 	if len(reply.Quarantine) != 1 || reply.Quarantine[0].Suspect {
@@ -49,13 +61,13 @@
 	l := newServerList("b")
 	l.setServers(nil, time.Second)
 	for i, server := range []string{"i-1", "i-2"} {
-		l.recordCrashes(&CrashRequest{Crashes: []Crash{{Server: server, Digest: "a"}}}, time.Duration(i+1)*time.Second)
+		recordCrashes(l, &CrashRequest{Crashes: []Crash{{Server: server, Digest: "a"}}}, time.Duration(i+1)*time.Second)
 	}
 	if len(l.quarantined) != 1 {
 		t.Fatalf("quarantined %+v after two crashes", l.quarantined)
 	}
-	l.recordCrashes(&CrashRequest{Cleared: []string{"a"}}, 3*time.Second)
-	l.recordCrashes(&CrashRequest{Crashes: []Crash{{Server: "i-3", Digest: "a"}}}, 4*time.Second)
+	recordCrashes(l, &CrashRequest{Cleared: []string{"a"}}, 3*time.Second)
+	recordCrashes(l, &CrashRequest{Crashes: []Crash{{Server: "i-3", Digest: "a"}}}, 4*time.Second)
 	var reply WatchReply
 	l.fillReply(&WatchRequest{}, 3*time.Second, &reply)
 	if len(reply.Quarantine) != 0 {
@@ -85,7 +97,7 @@
 		for i, servers := range c.crashes {
 			now := 10*time.Second + time.Duration(i)*pause
 			for _, server := range servers {
-				l.recordCrashes(&CrashRequest{Crashes: []Crash{{Server: server, Digest: "a", SentAgo: 90 * time.Millisecond,
+				recordCrashes(l, &CrashRequest{Crashes: []Crash{{Server: server, Digest: "a", SentAgo: 90 * time.Millisecond,
 					CrashedAgo: 60 * time.Millisecond}}}, now)
 			}
 			held := slices.ContainsFunc(l.quarantined, func(q message.Quarantine) bool { return !q.Suspect })
@@ -123,9 +135,10 @@
 					sent := crashed - random(workTime)
 					for try := range 1 + rng.Intn(2) {
 						reported := crashed + random(100*time.Millisecond) + time.Duration(try)*crashRetryInterval
-						reports = append(reports, crashReport{CrashRequest{Crashes: []Crash{{Server: fmt.Sprint("i-", server),
-							Digest: "a", SentAgo: reported - sent, CrashedAgo: reported - crashed}}},
-							reported + random(crashReportTimeout)})
+						reports = append(reports, crashReport{CrashRequest{
+							Reading: ClockReading{At: reported - random(quarantine.MaxAgeError)},
+							Crashes: []Crash{{Server: fmt.Sprint("i-", server), Digest: "a", SentAgo: reported - sent,
+								CrashedAgo: reported - crashed}}}, reported + random(crashReportTimeout)})
 					}
 				}
 			}
@@ -137,10 +150,116 @@
 		l := newServerList("c")
 		l.setServers(nil, time.Second)
 		for _, r := range reports {
-			l.recordCrashes(&r.request, r.received)
+			l.recordCrashes(r.received, &r.request)
 			if slices.ContainsFunc(l.quarantined, func(q message.Quarantine) bool { return !q.Suspect }) {
 				t.Fatalf("seed %d: held back %v after the start", seed, r.received)
 			}
 		}
 	}
 }
+
+// heldLink keeps what is sent over its connections while it is held, as a network does that
+// repeats lost packets.
+type heldLink struct {
+	mu      sync.Mutex
+	held    bool
+	pending []func()
+}
+
+func (l *heldLink) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := wire.DialTCP(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{conn, l}, nil
+}
+
+// do runs f now, or when the link is released.
+func (l *heldLink) do(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held {
+		l.pending = append(l.pending, f)
+		return
+	}
+	f()
+}
+
+func (l *heldLink) hold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = true
+}
+
+func (l *heldLink) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range l.pending {
+		f()
+	}
+	l.held, l.pending = false, nil
+}
+
+// heldConn is a connection over a heldLink.
+type heldConn struct {
+	net.Conn
+	link *heldLink
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	data := slices.Clone(p)
+	c.link.do(func() { _, _ = c.Conn.Write(data) })
+	return len(p), nil
+}
+
+func (c *heldConn) Close() error {
+	c.link.do(func() { _ = c.Conn.Close() })
+	return nil
+}
+
+// Guards against one crash that counts several times, because its report and the repeated
+// ones are held up on the way and arrive together.
+func TestHeldUpReportsOfOneCrashCountOnce(t *testing.T) {
+	g := newTestGroup(t, 3)
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	link := new(heldLink)
+	pool := wire.NewPool(link.dial)
+	w := NewWatcher(WatcherOptions{Seeds: g.seedsOf(), Codec: testCodec{}, Pool: pool, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer pool.Close()
+	defer cancel()
+	go w.Run(ctx)
+	g.members[g.seeds[0]].put(t, document(1, "one"))
+	eventually(t, "the entry knows the leader", func() bool { return w.View().Leader != "" })
+	leader := g.members[w.View().Leader]
+	report := func(digest string) {
+		w.Crashed(&CrashRequest{Crashes: []Crash{{Server: "i-1", Digest: digest, SentAgo: 90 * time.Millisecond,
+			CrashedAgo: 60 * time.Millisecond}}})
+	}
+	crashesOf := func(digest string) int {
+		leader.servers.mu.Lock()
+		defer leader.servers.mu.Unlock()
+		if leader.servers.suspects == nil {
+			return 0
+		}
+		for _, e := range leader.servers.suspects.Snapshot().Entries {
+			if e.Digest == digest {
+				return e.Crashes
+			}
+		}
+		return 0
+	}
+	report("before")
+	eventually(t, "a report is recorded", func() bool { return crashesOf("before") == 1 })
+	link.hold()
+	report("held")
+	time.Sleep(2200 * time.Millisecond)
+	link.release()
+	eventually(t, "the report is recorded", func() bool { return crashesOf("held") > 0 })
+	time.Sleep(crashRetryInterval + crashReportTimeout)
+	if n := crashesOf("held"); n != 1 {
+		t.Errorf("one crash counts %d times", n)
+	}
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -132,16 +132,34 @@
 // ReportRequest holds a report from a backend server's host.
 type ReportRequest struct{ Report backend.Report }
 
+// ClockReading is what SinceBoot returned in a process of the control group.
+type ClockReading struct {
+	Process string
+	At      time.Duration
+}
+
+// ClockRequest asks the leader for a reading of its clock.
+type ClockRequest struct{}
+
+// ClockReply holds a reading of the leader's clock. Other members than the leader return its
+// address instead.
+type ClockReply struct {
+	Reading ClockReading
+	Leader  string
+}
+
 // CrashRequest reports requests that were in flight when their backend server crashed,
 // and the digests of suspected requests that succeeded.
 type CrashRequest struct {
+	// Reading is when the ages in the report are true, however late it is delivered.
+	Reading ClockReading
 	Crashes []Crash
 	Cleared []string
 	// PartCrashes and PartsBegun hold ages instead of times.
 	PartCrashes []quarantine.PartCrash
 	PartsBegun  []PartBegun
 	// HeldParts are parts that the sender holds back and the leader does not know, with
-	// times relative to the request.
+	// times relative to the reading.
 	HeldParts []quarantine.PartStatus
 }
 
@@ -155,8 +173,7 @@
 type Crash struct {
 	// Server is the id of the server, which may start again under the same one.
 	Server, Digest string
-	// SentAgo is the age of the request and CrashedAgo that of the crash when the
-	// report was sent.
+	// SentAgo is the age of the request and CrashedAgo that of the crash.
 	SentAgo, CrashedAgo time.Duration
 }
 
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -58,17 +58,18 @@
 	defer p.mu.Unlock()
 	p.leadLocked(now)
 	var changed []quarantine.PartStatus
+	at := r.Reading.At
 	for _, s := range r.HeldParts {
-		if s = s.Absolute(now); p.table.Merge(now, s) {
+		if s = s.Absolute(at); p.table.Merge(now, s) {
 			changed = append(changed, s)
 		}
 	}
 	for _, c := range r.PartCrashes {
-		c.Sent, c.Crashed = now-c.Sent, now-c.Crashed
+		c.Sent, c.Crashed = at-c.Sent, at-c.Crashed
 		changed = append(changed, p.table.RecordCrash(now, c)...)
 	}
 	for _, b := range r.PartsBegun {
-		changed = append(changed, p.table.RecordBegun(now, b.Part, now-b.SentAgo, now-b.BegunAgo)...)
+		changed = append(changed, p.table.RecordBegun(now, b.Part, at-b.SentAgo, at-b.BegunAgo)...)
 	}
 	p.publishLocked(now, changed)
 }
--- a/fleet/parts_test.go
+++ b/fleet/parts_test.go
@@ -22,6 +22,12 @@
 	return &CrashRequest{PartCrashes: []quarantine.PartCrash{{Server: server, Parts: parts, Sent: 100 * time.Millisecond}}}
 }
 
+// recordParts records a report that is delivered when its ages are true.
+func recordParts(p *partTable, now time.Duration, r *CrashRequest) {
+	r.Reading.At = now
+	p.record(now, r)
+}
+
 // published returns what a table tells daemons, with times as of their arrival.
 func (p *partTable) published(now time.Duration) *View {
 	var reply WatchReply
@@ -38,21 +44,21 @@
 func TestPartVerdictOutlivesTheLeader(t *testing.T) {
 	const s = time.Second
 	old, logs := newPartTable("old")
-	old.record(10*s, partCrash("i-1", "a", "d"))
+	recordParts(old, 10*s, partCrash("i-1", "a", "d"))
 	next, _ := newPartTable("next")
 	next.copyFrom(old.published(10 * s))
 	if !next.hasNewer(Stamp{}) || next.hasNewer(next.stamp) {
 		t.Error("daemons are not told of the copy, or again and again")
 	}
 	next.lead(11 * s)
-	next.record(12*s, partCrash("i-2", "b", "d"))
+	recordParts(next, 12*s, partCrash("i-2", "b", "d"))
 	v := next.published(12 * s)
 	if len(v.Parts) == 0 || v.Parts[0].ID != "d" || v.Parts[0].State != quarantine.PartHeld {
 		t.Fatalf("after the second crash: %+v", v.Parts)
 	}
 
 	fresh, freshLogs := newPartTable("fresh")
-	fresh.record(20*s, &CrashRequest{HeldParts: []quarantine.PartStatus{v.Parts[0].Relative(20 * s)}})
+	recordParts(fresh, 20*s, &CrashRequest{HeldParts: []quarantine.PartStatus{v.Parts[0].Relative(20 * s)}})
 	if parts := fresh.published(20 * s).Parts; len(parts) != 1 || parts[0].State != quarantine.PartHeld {
 		t.Errorf("the new group did not take over the verdict: %+v", parts)
 	}
@@ -93,8 +99,8 @@
 		t.Errorf("held %+v", h)
 	}
 	table, _ := newPartTable("a")
-	table.record(10*s, partCrash("i-1", "d"))
-	table.record(12*s, &CrashRequest{PartsBegun: []PartBegun{{Part: "d", SentAgo: 3 * s, BegunAgo: 5 * s / 2}}})
+	recordParts(table, 10*s, partCrash("i-1", "d"))
+	recordParts(table, 12*s, &CrashRequest{PartsBegun: []PartBegun{{Part: "d", SentAgo: 3 * s, BegunAgo: 5 * s / 2}}})
 	if parts := table.published(12 * s).Parts; len(parts) != 1 || parts[0].State != quarantine.PartSuspected {
 		t.Errorf("an answer that began before the crash cleared the part: %+v", parts)
 	}
@@ -106,7 +112,7 @@
 	table, _ := newPartTable("a")
 	for i := range 600 {
 		for server := range 20 {
-			table.record(time.Duration(i)*s, &CrashRequest{PartCrashes: []quarantine.PartCrash{{
+			recordParts(table, time.Duration(i)*s, &CrashRequest{PartCrashes: []quarantine.PartCrash{{
 				Server: fmt.Sprint("i-0123456789-", i, "-", server), Parts: []string{fmt.Sprintf("%064x", i)}, Sent: 100 * time.Millisecond}}})
 		}
 	}
--- a/fleet/serverlist.go
+++ b/fleet/serverlist.go
@@ -134,7 +134,7 @@
 
 // recordCrashes records reported crashes and successes, and publishes the quarantine
 // entries if they changed. The caller does not hold l.mu.
-func (l *serverList) recordCrashes(r *CrashRequest, now time.Duration) {
+func (l *serverList) recordCrashes(now time.Duration, r *CrashRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.suspects == nil {
@@ -142,7 +142,7 @@
 		l.suspects = quarantine.Import(now, ageQuarantined(l.quarantined, now-l.quarantinedAt))
 	}
 	for _, c := range r.Crashes {
-		l.suspects.RecordCrashOf(now, c.Digest, quarantine.Attempt{Sent: now - c.SentAgo, Crashed: now - c.CrashedAgo})
+		l.suspects.RecordCrashOf(now, c.Digest, quarantine.Attempt{Sent: r.Reading.At - c.SentAgo, Crashed: r.Reading.At - c.CrashedAgo})
 	}
 	l.suspects.RecordSuccess(now, r.Cleared)
 	quarantined := l.suspects.Export(now, maxQuarantined)
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -272,6 +272,19 @@
 	return nil
 }
 
+// Clock returns a reading of the leader's clock.
+func (s *service) Clock(_ *ClockRequest, reply *ClockReply) error {
+	c := s.control
+	if !c.leads() {
+		if node := c.node.Load(); node != nil {
+			reply.Leader, _ = node.Leader()
+		}
+		return nil
+	}
+	reply.Reading = ClockReading{Process: c.servers.source, At: SinceBoot()}
+	return nil
+}
+
 // Crashed records crashes that entries observed. Other members than the leader return
 // its address instead.
 func (s *service) Crashed(request *CrashRequest, reply *ReportReply) error {
@@ -283,7 +296,10 @@
 		return nil
 	}
 	now := SinceBoot()
-	c.servers.recordCrashes(request, now)
+	if request.Reading.Process != c.servers.source || now-request.Reading.At > maxCrashReportAge {
+		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonTimeout, "the report is too late, or refers to another clock"))
+	}
+	c.servers.recordCrashes(now, request)
 	c.parts.record(now, request)
 	return nil
 }
