--- a/fleet/message.go
+++ b/fleet/message.go
@@ -151,7 +151,8 @@
 // CrashRequest reports requests that were in flight when their backend server crashed,
 // and the digests of suspected requests that succeeded.
 type CrashRequest struct {
-	// Reading is when the ages in the report are true, however late it is delivered.
+	// Reading is the reading of the leader's clock at which the ages in the report were
+	// true, so that the time of its delivery does not matter.
 	Reading ClockReading
 	Crashes []Crash
 	Cleared []string
--- a/fleet/retries.go
+++ b/fleet/retries.go
@@ -40,7 +40,7 @@
 }
 
 // acquire grants retries of requests to a service, in a term of this member's leadership. The
-// grants of a service add up from the begin of the term, not from its first request.
+// grants of a service add up from the beginning of the term, not from its first request.
 func (r *retryGrants) acquire(now time.Duration, term uint64, service string, n int) (granted int, again time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/fleet/retries_test.go
+++ b/fleet/retries_test.go
@@ -43,7 +43,7 @@
 	const s = time.Second
 	r := &retryGrants{slack: 100, window: 10 * s}
 	if granted, _ := r.acquire(0, 1, "a", 1); granted != 1 {
-		t.Errorf("%d retries at the begin of the term", granted)
+		t.Errorf("%d retries at the beginning of the term", granted)
 	}
 	if granted, _ := r.acquire(60*s, 1, "b", 1000); granted != 25 {
 		t.Errorf("%d retries of a service after a minute of the term, want the burst of 25", granted)
