Test of stops: keep connections without a request open while others are made

Cause: the harness gives connections 300 ms for their first request, and opening and using the other connections took longer, so the gateway closed the first ones before the stop, as it should.

The test sets a header timeout of 10 s. What it checks is unchanged.

--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -53,12 +53,19 @@
 
 // changeRoutes changes all routes.
 func (h *harness) changeRoutes(change func(*desired.Route)) {
-	h.fleet.set(func(f *testFleet) {
-		state := *f.view.Table.State
+	h.changeState(func(state *desired.State) {
 		state.Routes = append([]desired.Route(nil), state.Routes...)
 		for i := range state.Routes {
 			change(&state.Routes[i])
 		}
+	})
+}
+
+// changeState changes a copy of the desired state and puts it in force.
+func (h *harness) changeState(change func(*desired.State)) {
+	h.fleet.set(func(f *testFleet) {
+		state := *f.view.Table.State
+		change(&state)
 		view := *f.view
 		view.Table, view.Version = desired.NewTable(&state), view.Version+1
 		f.view = &view
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -21,6 +21,8 @@
 	const connections = 60
 	server := newTestServer(t, echo)
 	h := newHarness(t, nil, server)
+	// Connections without a request must not expire while the others are opened.
+	h.changeState(func(state *desired.State) { state.Limits.HeaderTimeout = 10 * time.Second })
 	request := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nT-Id: %d\r\nT-Key: key\r\nT-Budget: 3000\r\nContent-Length: 4\r\n\r\ndata"
 	var conns []net.Conn
 	for i := range connections {
