Report bytes that a stopping entry discards, and what is open when it ends

No line and no counter told that a connection was closed with a request on it that nobody answered, whether its caller had been told of the close, or how long after the signal. New: a log line and two counters, apart for closes that were announced and that were not; the line drained has them, the connections that were open before and after the last requests were cut off, and the time.

--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -12,6 +12,8 @@
 // Drain is the planned stop of an entry. Its times are in the same clock as those of the
 // requests that it is asked about.
 type Drain struct {
+	// Began is when the entry learned of the stop.
+	Began time.Duration
 	// NoticeEnd is when callers know of the stop.
 	NoticeEnd time.Duration
 	// Deadline is when the requests that remain are cut off.
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -71,6 +71,9 @@
 	busy bool
 	// cancel cancels the request that is being served, nil if there is none.
 	cancel context.CancelCauseFunc
+
+	// closeAnnounced is set when an answer told the caller that the connection closes.
+	closeAnnounced bool
 }
 
 // setCancel sets how the request that is being served is canceled, nil if there is none.
@@ -129,35 +132,12 @@
 	}
 }
 
-// lingerClose closes the write side and briefly reads until the caller closes.
-// Closing with unread bytes would reset the connection, and the caller could
-// lose the last response.
-func (c *callerConn) lingerClose() {
-	tcp, ok := c.conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
-		return
-	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	var discarded [512]byte
-	for read := 0; read < maxLingerBytes; {
-		n, err := c.conn.Read(discarded[:])
-		if err != nil {
-			return
-		}
-		read += n
-	}
-}
-
-const (
-	lingerTimeout  = 500 * time.Millisecond
-	maxLingerBytes = 64 << 10
-)
-
 // serveRequest reads and serves one request. It reports whether the connection
 // can be kept for another.
 func (c *callerConn) serveRequest(limits desired.Limits) bool {
 	arrived := time.Now()
 	w := &responseWriter{conn: c.conn, out: c.out}
+	defer func() { c.closeAnnounced = w.closeAnnounced }()
 	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	head, err := readHead(c.in, limits.HeaderBytes)
 	if err != nil {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -35,7 +35,8 @@
 // that load balancers can react, closes the listener, and then waits until no request
 // remains or ctx ends. Requests that remain then are cut off with an answer.
 func (g *Gateway) Drain(ctx context.Context, notice time.Duration, listener net.Listener) {
-	drain := &dispatch.Drain{NoticeEnd: g.elapsed() + max(0, notice-signalDelay), Deadline: dispatch.NoDeadline}
+	began := g.elapsed()
+	drain := &dispatch.Drain{Began: began, NoticeEnd: began + max(0, notice-signalDelay), Deadline: dispatch.NoDeadline}
 	if deadline, ok := ctx.Deadline(); ok {
 		drain.Deadline = g.elapsed() + time.Until(deadline)
 	}
@@ -50,9 +51,20 @@
 	for ctx.Err() == nil && g.closeIdle(idleUntil) > 0 {
 		time.Sleep(drainPollInterval)
 	}
-	left := g.activeRequests.Load()
+	left, open := g.activeRequests.Load(), g.connections()
 	g.cutOff()
-	g.logger.Info("drained", zap.Int64("requests_left", left))
+	g.logger.Info("drained", zap.Int64("requests_left", left), zap.Int("connections_left", open),
+		zap.Int("connections_at_exit", g.connections()), zap.Int64("cut_off", g.metrics.cutOff.Value()),
+		zap.Int64("discarded", g.metrics.stopDiscarded.Value()),
+		zap.Int64("discarded_unannounced", g.metrics.stopUnannounced.Value()),
+		zap.Duration("since_stop_seconds", g.elapsed()-drain.Began))
+}
+
+// connections returns the number of connections from callers that are open.
+func (g *Gateway) connections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns)
 }
 
 // closeIdle makes idle connections close at a time, and returns the number of
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,7 +9,7 @@
 // metrics holds the metrics of the gateway.
 type metrics struct {
 	requests, rejected, refused, failed, retried, streamsAborted, streamsResumed,
-	callersGone, streamsLate, quarantined, serverCrashes, cutOff *expvar.Int
+	callersGone, streamsLate, quarantined, serverCrashes, cutOff, stopDiscarded, stopUnannounced *expvar.Int
 	statuses, crossDomainBytes *observe.Counters
 	firstByte, requestDuration *observe.Histogram
 }
@@ -24,7 +24,9 @@
 		retried: m.Counter("gateway_retried_total"), streamsAborted: m.Counter("gateway_streams_aborted_total"),
 		streamsResumed: m.Counter("gateway_streams_resumed_total"), callersGone: m.Counter("gateway_callers_gone_total"),
 		streamsLate: m.Counter("gateway_streams_late_total"), cutOff: m.Counter("gateway_cut_off_total"),
-		quarantined: m.Counter("gateway_held_back_total"), serverCrashes: m.Counter("gateway_server_crashes_total"),
+		stopDiscarded:   m.Counter("gateway_stop_discarded_total"),
+		stopUnannounced: m.Counter("gateway_stop_discarded_unannounced_total"),
+		quarantined:     m.Counter("gateway_held_back_total"), serverCrashes: m.Counter("gateway_server_crashes_total"),
 		statuses:         m.Counters("gateway_responses_total", maxStatuses),
 		crossDomainBytes: m.Counters("gateway_cross_domain_bytes_total", maxStatuses),
 		firstByte:        m.Histogram("gateway_first_byte_seconds"), requestDuration: m.Histogram("gateway_request_seconds"),
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -22,10 +22,12 @@
 	http10 bool
 	// closeAfter is set if the connection closes after the response.
 	closeAfter bool
-	started    bool
-	chunked    bool
-	ended      bool
-	status     int
+	// closeAnnounced is set if the head of the response says that the connection closes.
+	closeAnnounced bool
+	started        bool
+	chunked        bool
+	ended          bool
+	status         int
 }
 
 // extendDeadline gives the next write the full writeTimeout.
@@ -48,6 +50,7 @@
 	}
 	if w.closeAfter {
 		header.Set("Connection", "close")
+		w.closeAnnounced = true
 	}
 	_ = header.Write(w.out)
 	_, _ = w.out.WriteString("\r\n")
