--- /dev/null
+++ b/gateway/keptconn_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// longestPause is the longest pause between an answer and the next request in these tests.
+const longestPause = 300 * time.Millisecond
+
+// paused returns a server whose calls take the number of milliseconds in their path.
+func paused(t *testing.T) *testServer {
+	return newTestServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.Atoi(r.URL.Query().Get("ms"))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+	})
+}
+
+// Guards against a stop that closes a connection whose last answer kept it, while the caller
+// sends its next request.
+func TestStopAnswersTheNextRequestOnAKeptConnection(t *testing.T) {
+	h := newHarness(t, nil, paused(t))
+	h.setTimeout(longTimeout)
+	var conns []*keptConn
+	for range quickCalls {
+		conns = append(conns, h.connect("/once/x"))
+	}
+	var group, sent sync.WaitGroup
+	sent.Add(len(conns))
+	for i, c := range conns {
+		group.Go(func() {
+			// The first calls end before the listener is closed, the last ones after it.
+			ms := 100 + int(testDrain.Milliseconds()-700)*i/len(conns)
+			time.AfterFunc(50*time.Millisecond, sent.Done)
+			response, err := c.call(fmt.Sprint("/once/x?ms=", ms), "")
+			if err != nil || response.StatusCode != http.StatusOK {
+				t.Errorf("call of %d ms in progress at the stop: %v %v", ms, response, err)
+				return
+			}
+			if response.Close {
+				return
+			}
+			time.Sleep(longestPause * time.Duration(i%4) / 3)
+			if response, err = c.call("/once/x", "quick"); err != nil {
+				t.Errorf("next request on a connection that a call of %d ms kept: %v", ms, err)
+			} else if s := response.StatusCode; s != http.StatusOK && s != http.StatusServiceUnavailable {
+				t.Errorf("next request: status %d", s)
+			}
+		})
+	}
+	sent.Wait()
+	h.stop(shortNotice)
+	group.Wait()
+	if n := h.gateway.metrics.stopUnannounced.Value(); n > 0 {
+		t.Errorf("%d connections were closed with unanswered bytes and without an announcement", n)
+	}
+}
