Keep connections open during a stop until an answer has announced the close

What callers saw: no answer to a request that they sent on a connection whose last answer had kept it (RFC 9112, 9.6), after the SIGTERM of their entry.

Cause: whether an answer announces the close was decided when the head of the request was read, so a request in progress at the signal never announced it, and a stream has sent its head by then. After the listener was closed, each answer was followed by the end of the write side all the same, and the next request was read during the linger and discarded.

Change: the close is announced by the head of the answer. A connection that was not told stays open for 0.5 s after its last answer; a request on it is served or refused with a whole answer, which tells it. The linger comes only behind an announced close. A read whose deadline has passed looks once more at what has arrived.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	// idleSlack is added to the declared idle timeout, so that a request sent just
 	// before the timeout does not reach a closed connection.
 	idleSlack = 2 * time.Second
+	// lastReadTimeout is how long a connection waits for bytes that have already arrived.
+	lastReadTimeout = time.Millisecond
 	// readBufferBytes and writeBufferBytes are the buffer sizes of one connection.
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
@@ -69,6 +72,8 @@
 	mu sync.Mutex
 	// busy is set while a request is being read or served.
 	busy bool
+	// idleSince is when the last request ended.
+	idleSince time.Time
 	// cancel cancels the request that is being served, nil if there is none.
 	cancel context.CancelCauseFunc
 
@@ -92,24 +97,34 @@
 	}
 }
 
-// setBusy records whether a request is being read or served. While it is, closeIdleAt
-// does not change the read deadline.
+// setBusy records whether a request is being read or served. While it is, closeIdle does
+// not change the read deadline.
 func (c *callerConn) setBusy(busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
+	if c.busy = busy; !busy {
+		c.idleSince = time.Now()
+	}
 }
 
-// closeIdleAt makes the connection close at a time unless a request arrives before.
-func (c *callerConn) closeIdleAt(at time.Time) {
+// closeIdle makes the connection close drainIdleGrace after the listener was closed or the
+// last request ended, whichever is later, unless a request arrives before.
+func (c *callerConn) closeIdle(listenerClosed time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy {
-		_ = c.conn.SetReadDeadline(at)
+	if c.busy {
+		return
+	}
+	since := listenerClosed
+	if c.idleSince.After(since) {
+		since = c.idleSince
 	}
+	_ = c.conn.SetReadDeadline(since.Add(drainIdleGrace))
 }
 
-// serve handles the requests on the connection until it closes.
+// serve handles the requests on the connection until it closes. A connection stays open
+// until an answer has announced the close or no request arrives for a while, so that no
+// caller sends a request that nobody answers.
 func (c *callerConn) serve() {
 	defer func() { _ = c.conn.Close() }()
 	for first := true; ; first = false {
@@ -118,25 +133,38 @@
 		if first {
 			wait = limits.HeaderTimeout
 		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(wait))
-		if _, err := c.in.Peek(1); err != nil {
+		if !c.awaitRequest(wait) {
 			return
 		}
 		c.setBusy(true)
 		keepAlive := c.serveRequest(limits)
 		c.setBusy(false)
-		if !keepAlive || c.gateway.closing.Load() {
+		if !keepAlive {
 			c.lingerClose()
 			return
 		}
 	}
 }
 
+// awaitRequest waits for the first byte of a request, and returns false if none arrives in
+// time. It reads once more after the time, because a read whose deadline has passed does not
+// look at bytes that have arrived.
+func (c *callerConn) awaitRequest(wait time.Duration) bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(wait))
+	_, err := c.in.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setBusy(true)
+		_ = c.conn.SetReadDeadline(time.Now().Add(lastReadTimeout))
+		_, err = c.in.Peek(1)
+	}
+	return err == nil
+}
+
 // serveRequest reads and serves one request. It reports whether the connection
 // can be kept for another.
 func (c *callerConn) serveRequest(limits desired.Limits) bool {
 	arrived := time.Now()
-	w := &responseWriter{conn: c.conn, out: c.out}
+	w := &responseWriter{conn: c.conn, out: c.out, stopping: func() bool { return c.gateway.drain.Load() != nil }}
 	defer func() { c.closeAnnounced = w.closeAnnounced }()
 	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	head, err := readHead(c.in, limits.HeaderBytes)
@@ -149,7 +177,7 @@
 	}
 	w.noBody = parsed.Method == http.MethodHead
 	w.http10 = parsed.ProtoMinor == 0
-	w.closeAfter = parsed.Close || w.http10 || c.gateway.drain.Load() != nil
+	w.closeAfter = parsed.Close || w.http10
 	if strings.EqualFold(parsed.Header.Get("Expect"), "100-continue") {
 		w.extendDeadline()
 		_, _ = c.out.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -17,8 +17,8 @@
 	// drainPollInterval is the interval at which Drain checks for remaining requests.
 	drainPollInterval = 50 * time.Millisecond
 	// drainIdleGrace is how long connections without a request stay open after the
-	// listener was closed. A request that was sent before the caller could know of the
-	// stop arrives meanwhile.
+	// listener was closed and after their last request. A request that was sent before the
+	// caller could know of the stop arrives meanwhile.
 	drainIdleGrace = 500 * time.Millisecond
 	// signalDelay covers the time between the signal to stop and the call of Drain.
 	signalDelay = 60 * time.Millisecond
@@ -46,9 +46,8 @@
 	case <-time.After(notice):
 	}
 	_ = listener.Close()
-	g.closing.Store(true)
-	idleUntil := time.Now().Add(drainIdleGrace)
-	for ctx.Err() == nil && g.closeIdle(idleUntil) > 0 {
+	listenerClosed := time.Now()
+	for ctx.Err() == nil && g.closeIdle(listenerClosed) > 0 {
 		time.Sleep(drainPollInterval)
 	}
 	left, open := g.activeRequests.Load(), g.connections()
@@ -67,13 +66,13 @@
 	return len(g.conns)
 }
 
-// closeIdle makes idle connections close at a time, and returns the number of
+// closeIdle makes idle connections close after a grace, and returns the number of
 // connections that are still open.
-func (g *Gateway) closeIdle(at time.Time) int {
+func (g *Gateway) closeIdle(listenerClosed time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		c.closeIdleAt(at)
+		c.closeIdle(listenerClosed)
 	}
 	return len(g.conns)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,7 +174,6 @@
 
 	// drain is set while the entry drains. Its times are values of elapsed.
 	drain          atomic.Pointer[dispatch.Drain]
-	closing        atomic.Bool
 	activeRequests atomic.Int64
 
 	mu    sync.Mutex
--- a/gateway/keptconn_test.go
+++ b/gateway/keptconn_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,9 +14,14 @@
 // longestPause is the longest pause between an answer and the next request in these tests.
 const longestPause = 300 * time.Millisecond
 
-// paused returns a server whose calls take the number of milliseconds in their path.
-func paused(t *testing.T) *testServer {
-	return newTestServer(t, func(_ http.ResponseWriter, r *http.Request) {
+// newPausingServer returns a server whose answers take the number of milliseconds in their
+// path. Those to streams begin at once.
+func newPausingServer(t *testing.T) *testServer {
+	return newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			_, _ = io.WriteString(w, events(1, 1))
+			_ = http.NewResponseController(w).Flush()
+		}
 		ms, _ := strconv.Atoi(r.URL.Query().Get("ms"))
 		time.Sleep(time.Duration(ms) * time.Millisecond)
 	})
@@ -23,7 +30,7 @@
 // Guards against a stop that closes a connection whose last answer kept it, while the caller
 // sends its next request.
 func TestStopAnswersTheNextRequestOnAKeptConnection(t *testing.T) {
-	h := newHarness(t, nil, paused(t))
+	h := newHarness(t, nil, newPausingServer(t))
 	h.setTimeout(longTimeout)
 	var conns []*keptConn
 	for range quickCalls {
@@ -33,20 +40,21 @@
 	sent.Add(len(conns))
 	for i, c := range conns {
 		group.Go(func() {
-			// The first calls end before the listener is closed, the last ones after it.
+			// The first ones end before the listener is closed, the last ones after it.
 			ms := 100 + int(testDrain.Milliseconds()-700)*i/len(conns)
 			time.AfterFunc(50*time.Millisecond, sent.Done)
-			response, err := c.call(fmt.Sprint("/once/x?ms=", ms), "")
+			path := []string{"/once/x", "/stream/x"}[i%2]
+			response, err := c.call(fmt.Sprint(path, "?ms=", ms), "")
 			if err != nil || response.StatusCode != http.StatusOK {
-				t.Errorf("call of %d ms in progress at the stop: %v %v", ms, response, err)
+				t.Errorf("request of %d ms in progress at the stop: %v %v", ms, response, err)
 				return
 			}
 			if response.Close {
 				return
 			}
-			time.Sleep(longestPause * time.Duration(i%4) / 3)
+			time.Sleep(longestPause * time.Duration(i%5) / 4)
 			if response, err = c.call("/once/x", "quick"); err != nil {
-				t.Errorf("next request on a connection that a call of %d ms kept: %v", ms, err)
+				t.Errorf("next request on a connection that %s of %d ms kept: %v", path, ms, err)
 			} else if s := response.StatusCode; s != http.StatusOK && s != http.StatusServiceUnavailable {
 				t.Errorf("next request: status %d", s)
 			}
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -20,6 +20,9 @@
 	noBody bool
 	// http10 is set for callers that do not support chunked encoding.
 	http10 bool
+	// stopping reports whether the entry stops. It is asked when the head is written, so that
+	// the answer to a request that was in progress at the signal announces the close too.
+	stopping func() bool
 	// closeAfter is set if the connection closes after the response.
 	closeAfter bool
 	// closeAnnounced is set if the head of the response says that the connection closes.
@@ -48,6 +51,7 @@
 		w.chunked = true
 		header.Set("Transfer-Encoding", "chunked")
 	}
+	w.closeAfter = w.closeAfter || w.stopping()
 	if w.closeAfter {
 		header.Set("Connection", "close")
 		w.closeAnnounced = true
