Wait at the end of a stop until callers have read the last answers

What callers may see: a reset in place of an answer that was written in the last 0.2 s of a stop. The process ended as soon as no request was active. If a connection holds unread bytes then, such as the next request or the rest of a body, the kernel resets it, and an answer that is still on its way can be lost. Nobody has reported this; the lead was read in the code.

Change: the end of the drain waits for the connections, which linger until their callers close them, within the same 0.2 s.

--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -111,10 +111,12 @@
 	return c
 }
 
+// callFormat formats a call by its path, time limit in milliseconds, length of the body and body.
+const callFormat = "POST %s HTTP/1.1\r\nHost: h.example\r\nT-Id: i\r\nT-Key: key\r\nT-Budget: %d\r\nContent-Length: %d\r\n\r\n%s"
+
 // call sends a call and returns the response, whose body is complete.
 func (c *keptConn) call(path, body string) (*http.Response, error) {
-	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nT-Id: i\r\nT-Key: key\r\nT-Budget: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, longTimeout.Milliseconds(), len(body), body)
+	_, err := fmt.Fprintf(c, callFormat, path, longTimeout.Milliseconds(), len(body), body)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -23,7 +23,7 @@
 	// signalDelay covers the time between the signal to stop and the call of Drain.
 	signalDelay = 60 * time.Millisecond
 	// cutOffGrace is the time after the end of the drain in which the requests that
-	// remain are answered.
+	// remain are answered and their callers read the answers.
 	cutOffGrace = 200 * time.Millisecond
 )
 
@@ -77,15 +77,16 @@
 	return len(g.conns)
 }
 
-// cutOff cancels the requests that remain and waits until they are answered or cutOffGrace
-// is over.
+// cutOff cancels the requests that remain and waits until their connections are closed or
+// cutOffGrace is over. A process that ends while a connection holds unread bytes resets it,
+// and the caller could lose the last response.
 func (g *Gateway) cutOff() {
 	g.mu.Lock()
 	for c := range g.conns {
 		c.cancelRequest(errStopping)
 	}
 	g.mu.Unlock()
-	for end := time.Now().Add(cutOffGrace); g.activeRequests.Load() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(cutOffGrace); g.connections() > 0 && time.Now().Before(end); {
 		time.Sleep(drainPollInterval / 10)
 	}
 }
