Answer requests whose body is being read when a stop ends

What callers saw: a closed connection without an answer, if the entry stopped while it was reading their request. Such a request had no cancel function yet, so the end of the drain did not reach it.

Change: the end of the drain also ends reads; the caller gets 503 with not_run and a Retry-After, since nothing was passed on.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/dispatch"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -76,6 +77,8 @@
 	idleSince time.Time
 	// cancel cancels the request that is being served, nil if there is none.
 	cancel context.CancelCauseFunc
+	// isCutOff is set at the end of the drain, when what is being read or served ends.
+	isCutOff bool
 
 	// closeAnnounced is set when an answer told the caller that the connection closes.
 	closeAnnounced bool
@@ -86,15 +89,41 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
+	if c.isCutOff && cancel != nil {
+		cancel(errStopping)
+	}
+}
+
+// cutOff ends the request that is being read or served, if any, so that it is answered.
+func (c *callerConn) cutOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isCutOff = true
+	switch {
+	case c.cancel != nil:
+		c.cancel(errStopping)
+	case c.busy:
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
-// cancelRequest cancels the request that is being served, if any.
-func (c *callerConn) cancelRequest(cause error) {
+// setReadTimeout limits the time to read a part of a request. After cutOff nothing more is
+// read.
+func (c *callerConn) setReadTimeout(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancel != nil {
-		c.cancel(cause)
+	at := time.Now().Add(timeout)
+	if c.isCutOff {
+		at = time.Unix(1, 0)
 	}
+	_ = c.conn.SetReadDeadline(at)
+}
+
+// wasCutOff reports whether cutOff was called.
+func (c *callerConn) wasCutOff() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isCutOff
 }
 
 // setBusy records whether a request is being read or served. While it is, closeIdle does
@@ -166,7 +195,7 @@
 	arrived := time.Now()
 	w := &responseWriter{conn: c.conn, out: c.out, stopping: func() bool { return c.gateway.drain.Load() != nil }}
 	defer func() { c.closeAnnounced = w.closeAnnounced }()
-	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
+	c.setReadTimeout(limits.HeaderTimeout)
 	head, err := readHead(c.in, limits.HeaderBytes)
 	if err != nil {
 		return c.reject(w, err)
@@ -183,7 +212,7 @@
 		_, _ = c.out.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 		_ = c.out.Flush()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	c.setReadTimeout(bodyTimeout)
 	body, err := readBody(c.in, bodyFraming, limits.BodyBytes)
 	if err != nil {
 		return c.reject(w, err)
@@ -206,6 +235,7 @@
 func (c *callerConn) reject(w *responseWriter, err error) bool {
 	w.closeAfter = true
 	status, text := http.StatusBadRequest, err.Error()
+	header := http.Header{}
 	var netErr net.Error
 	switch {
 	case errors.Is(err, errHeadTooLarge):
@@ -213,6 +243,9 @@
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errMalformed):
+	case errors.As(err, &netErr) && netErr.Timeout() && c.wasCutOff():
+		status, text = http.StatusServiceUnavailable, "this entry stops"
+		header.Set("Retry-After", formatSeconds(dispatch.RetryElsewhere(0, c.gateway.random())))
 	case errors.As(err, &netErr) && netErr.Timeout():
 		status, text = http.StatusRequestTimeout, "the request did not arrive in time"
 	default:
@@ -222,7 +255,6 @@
 	c.gateway.logger.Info("request rejected before it was fully read", zap.Int("status", status),
 		zap.String("reason", text), zap.String("remote", c.conn.RemoteAddr().String()))
 	c.gateway.metrics.rejected.Add(1)
-	header := http.Header{}
 	header.Set(verdictHeader, "not_run")
 	_ = w.writeResponse(status, header, []byte(text+"\n"))
 	return false
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -77,13 +77,13 @@
 	return len(g.conns)
 }
 
-// cutOff cancels the requests that remain and waits until their connections are closed or
+// cutOff ends the requests that remain and waits until their connections are closed or
 // cutOffGrace is over. A process that ends while a connection holds unread bytes resets it,
 // and the caller could lose the last response.
 func (g *Gateway) cutOff() {
 	g.mu.Lock()
 	for c := range g.conns {
-		c.cancelRequest(errStopping)
+		c.cutOff()
 	}
 	g.mu.Unlock()
 	for end := time.Now().Add(cutOffGrace); g.connections() > 0 && time.Now().Before(end); {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -78,7 +78,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(verdictHeader, v.String())
 	if retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", formatSeconds(retryAfter))
 	}
 	body := fmt.Sprintf("{\"error\":{\"message\":%q,\"code\":%q,\"verdict\":%q,\"retry_after_ms\":%d}}\n",
 		text, string(reason), v.String(), retryAfter.Milliseconds())
@@ -87,6 +87,9 @@
 	}
 }
 
+// formatSeconds returns a duration as the value of Retry-After.
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // routeName returns the name of the route, empty if there is none.
 func (x *exchange) routeName() string {
 	if x.route == nil {
