Hand answers that their servers finished over to the kernel at the end of a stop

What callers saw: a reset in the middle of a generation whose server had sent all of it, if they read slowly and the entry stopped. The entry waited for room in the send buffer, and the end of the drain aborted the connection.

Change: from 0.5 s before the end of the drain, the kernel may hold 1 MiB of each answer. The write goes on, the answer ends, and the kernel sends the rest after the end of the process. Where the kernel allows less, the answer is cut off as before.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -126,6 +126,13 @@
 	return c.isCutOff
 }
 
+// isServing reports whether a request is being served.
+func (c *callerConn) isServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cancel != nil
+}
+
 // setBusy records whether a request is being read or served. While it is, closeIdle does
 // not change the read deadline.
 func (c *callerConn) setBusy(busy bool) {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -9,6 +9,7 @@
 	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/verdict"
+	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -22,6 +23,10 @@
 	drainIdleGrace = 500 * time.Millisecond
 	// signalDelay covers the time between the signal to stop and the call of Drain.
 	signalDelay = 60 * time.Millisecond
+	// handOverTime is the time before the end of the drain from which the kernel may hold
+	// handOverBytes of each answer that its caller has not received.
+	handOverTime  = 500 * time.Millisecond
+	handOverBytes = 1 << 20
 	// cutOffGrace is the time after the end of the drain in which the requests that
 	// remain are answered and their callers read the answers.
 	cutOffGrace = 200 * time.Millisecond
@@ -48,6 +53,9 @@
 	_ = listener.Close()
 	listenerClosed := time.Now()
 	for ctx.Err() == nil && g.closeIdle(listenerClosed) > 0 {
+		if drain.Deadline-g.elapsed() < handOverTime {
+			g.handOver()
+		}
 		time.Sleep(drainPollInterval)
 	}
 	left, open := g.activeRequests.Load(), g.connections()
@@ -59,6 +67,21 @@
 		zap.Duration("since_stop_seconds", g.elapsed()-drain.Began))
 }
 
+// handOver lets the kernel take what callers that read slowly have not received yet. It sends
+// that after the end of the process, so that an answer is not cut off which its server has
+// finished.
+func (g *Gateway) handOver() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if tcp, ok := c.conn.(*net.TCPConn); ok && c.isServing() {
+			if err := wire.RaiseSendBuffer(tcp, handOverBytes); err != nil {
+				g.logger.Debug("cannot raise the send buffer of a connection", zap.Error(err))
+			}
+		}
+	}
+}
+
 // connections returns the number of connections from callers that are open.
 func (g *Gateway) connections() int {
 	g.mu.Lock()
--- a/gateway/endofstop_test.go
+++ b/gateway/endofstop_test.go
@@ -2,13 +2,22 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// finishedEvents is the length of a generation of about 180 kB, which is more than a send
+// buffer holds without being enlarged.
+const finishedEvents = 7000
+
 // Guards against a process that ends while a connection with its last answer still holds
 // unread bytes, so that the kernel resets the connection and may drop the answer.
 func TestStopEndsAfterTheLastAnswersAreTaken(t *testing.T) {
@@ -56,3 +65,43 @@
 		t.Errorf("%d requests were passed on", n)
 	}
 }
+
+// Guards against a stop that cuts off a generation whose server has finished, because its
+// caller reads slowly.
+func TestStopHandsFinishedStreamsOver(t *testing.T) {
+	finished := make(chan struct{})
+	server := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, events(1, finishedEvents))
+		close(finished)
+	})
+	h := newHarness(t, nil, server)
+	h.setTimeout(longTimeout)
+	// Small segments and a small receive buffer make the gateway wait for the caller.
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if e := raw.Control(func(fd uintptr) {
+			err = errors.Join(unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 500),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 2000))
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+	conn, err := dialer.Dial("tcp", h.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, callFormat, "/stream/x", longTimeout.Milliseconds(), 0, "")
+	<-finished
+	_, done := h.stopWithin(shortNotice, time.Second)
+	<-done
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(longTimeout))
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != events(1, finishedEvents) {
+		t.Errorf("read %d bytes of the generation: %v", len(body), err)
+	}
+}
--- a/wire/socket.go
+++ b/wire/socket.go
@@ -44,6 +44,27 @@
 	}
 }
 
+// RaiseSendBuffer lets the kernel hold at least so many bytes that were written to a
+// connection and not yet received. A write that waits for room goes on. The kernel may allow
+// fewer bytes.
+func RaiseSendBuffer(conn syscall.Conn, bytes int) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		var held int
+		if held, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF); optionErr == nil && held < bytes {
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // NewTCPDialer returns a Dialer without TLS. Its connections fail if sent data
 // stays unacknowledged for userTimeout.
 func NewTCPDialer(timeout, userTimeout time.Duration) Dialer {
