Serve connections that are established when a stop closes the listener

What callers saw: a reset without an answer on a connection that had just been established, since the kernel resets what nobody has accepted when a listener is closed. Nobody had read such a request, so it did not run, but its caller can not know that.

Cause: the listener was closed while connections waited to be accepted. Besides, the end of the drain could overlook a connection between Accept and its entry in the table.

Change: the end of the accept loop is awaited, the connections that the kernel has queued are accepted, and only then the listener is closed. A handshake in progress at that moment, one round trip, still ends with a reset; the socket filter that could refuse it earlier is not supported by the kernel of this machine (operation not supported), so it was not built.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -84,6 +84,11 @@
 	closeAnnounced bool
 }
 
+func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
+	return &callerConn{gateway: g, conn: conn, in: bufio.NewReaderSize(conn, readBufferBytes),
+		out: bufio.NewWriterSize(conn, writeBufferBytes)}
+}
+
 // setCancel sets how the request that is being served is canceled, nil if there is none.
 func (c *callerConn) setCancel(cancel context.CancelCauseFunc) {
 	c.mu.Lock()
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -48,7 +48,7 @@
 	case <-ctx.Done():
 	case <-time.After(notice):
 	}
-	_ = listener.Close()
+	g.stopAccepting(listener)
 	listenerClosed := time.Now()
 	for ctx.Err() == nil && g.closeIdle(listenerClosed) > 0 {
 		if drain.Deadline-g.elapsed() < handOverTime {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,11 +9,9 @@
 package gateway
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"math/rand"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,7 +24,6 @@
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
@@ -175,6 +172,8 @@
 	// drain is set while the entry drains. Its times are values of elapsed.
 	drain          atomic.Pointer[dispatch.Drain]
 	activeRequests atomic.Int64
+	// accepting counts the calls of Serve.
+	accepting sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -234,37 +233,3 @@
 	}
 	return true, ""
 }
-
-// Serve accepts connections until the listener is closed.
-func (g *Gateway) Serve(listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var temporary interface{ Temporary() bool }
-			if errors.As(err, &temporary) && temporary.Temporary() {
-				g.logger.Warn("could not accept a connection, retrying", zap.Error(err))
-				time.Sleep(acceptRetryDelay)
-				continue
-			}
-			return errors.Wrap(err, "accept connection")
-		}
-		c := &callerConn{gateway: g, conn: conn, in: bufio.NewReaderSize(conn, readBufferBytes),
-			out: bufio.NewWriterSize(conn, writeBufferBytes)}
-		g.mu.Lock()
-		g.conns[c] = struct{}{}
-		g.mu.Unlock()
-		go func() {
-			c.serve()
-			g.mu.Lock()
-			delete(g.conns, c)
-			g.mu.Unlock()
-		}()
-	}
-}
-
-// acceptRetryDelay is the delay after a temporary error of Accept, such as a lack
-// of file descriptors.
-const acceptRetryDelay = 50 * time.Millisecond
--- a/wire/socket.go
+++ b/wire/socket.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -65,6 +67,43 @@
 	return optionErr
 }
 
+// CloseListener closes a listener and returns the connections that the kernel had established
+// for it and nobody had accepted. The kernel would reset them. It also returns connections
+// beside an error.
+func CloseListener(listener *net.TCPListener) ([]net.Conn, error) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var files []*os.File
+	var acceptErr error
+	err = raw.Control(func(fd uintptr) {
+		for {
+			accepted, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			switch {
+			case err == nil:
+				files = append(files, os.NewFile(uintptr(accepted), "accepted connection"))
+			case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
+			case errors.Is(err, unix.EAGAIN):
+				return
+			default:
+				acceptErr = err
+				return
+			}
+		}
+	})
+	err = errors.Join(err, acceptErr, listener.Close())
+	var conns []net.Conn
+	for _, file := range files {
+		conn, connErr := net.FileConn(file)
+		if connErr == nil {
+			conns = append(conns, conn)
+		}
+		err = errors.Join(err, connErr, file.Close())
+	}
+	return conns, err
+}
+
 // NewTCPDialer returns a Dialer without TLS. Its connections fail if sent data
 // stays unacknowledged for userTimeout.
 func NewTCPDialer(timeout, userTimeout time.Duration) Dialer {
