Answer requests that were sent ahead before a stop closes their connection

What callers saw: no answer to a request that they had sent behind another one on the same connection, before or after the SIGTERM of their entry.

Cause: the answer to the first request announces the close, although the entry has read the next request or the kernel holds it. The linger discards that request. Its caller could not know of the close when it sent it. Since the answer to a request in progress at the signal announces the close as well, so already the second of the requests was lost.

Change: an answer does not announce the close while bytes of the next request have arrived. That request is served or refused, and the last answer announces the close. A request of which the kernel alone holds bytes is seen too, because the one before may be refused before anybody reads ahead.

Remains: bytes that arrive after the head of the last answer was written are discarded behind an announced close, and a caller that always sends ahead is told only when nothing is unread.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -13,6 +13,7 @@
 
 	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/dispatch"
+	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -82,6 +83,8 @@
 
 	// closeAnnounced is set when an answer told the caller that the connection closes.
 	closeAnnounced bool
+	// nextArrived is set when bytes of the next request arrived while one is being served.
+	nextArrived atomic.Bool
 }
 
 func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
@@ -205,7 +208,7 @@
 // can be kept for another.
 func (c *callerConn) serveRequest(limits desired.Limits) bool {
 	arrived := time.Now()
-	w := &responseWriter{conn: c.conn, out: c.out, stopping: func() bool { return c.gateway.drain.Load() != nil }}
+	w := &responseWriter{conn: c.conn, out: c.out, stopping: c.closesForStop}
 	defer func() { c.closeAnnounced = w.closeAnnounced }()
 	c.setReadTimeout(limits.HeaderTimeout)
 	head, err := readHead(c.in, limits.HeaderBytes)
@@ -243,6 +246,20 @@
 	return w.ended && !w.closeAfter
 }
 
+// closesForStop reports whether the connection closes after the present request because the
+// entry stops. A request that was sent behind it gets an answer first, since its caller could
+// not know of the close.
+func (c *callerConn) closesForStop() bool {
+	return c.gateway.drain.Load() != nil && !c.nextArrived.Load()
+}
+
+// hasUnread reports whether bytes of the next request arrived. While the entry stops, it also
+// looks at what the kernel holds: a request may be refused before watchClose has read that.
+func (c *callerConn) hasUnread() bool {
+	tcp, ok := c.conn.(*net.TCPConn)
+	return c.in.Buffered() > 0 || ok && c.gateway.drain.Load() != nil && wire.Unread(tcp) > 0
+}
+
 // reject responds to a request that could not be read. It always returns false.
 func (c *callerConn) reject(w *responseWriter, err error) bool {
 	w.closeAfter = true
@@ -276,11 +293,14 @@
 // function stops watching. Bytes of a pipelined request stay in the read buffer.
 func (c *callerConn) watchClose(cancel context.CancelFunc) func() {
 	done := make(chan struct{})
+	c.nextArrived.Store(c.hasUnread())
 	_ = c.conn.SetReadDeadline(time.Time{})
 	stopping := atomic.Bool{}
 	go func() {
 		defer close(done)
-		if _, err := c.in.Peek(1); err != nil && !stopping.Load() {
+		if _, err := c.in.Peek(1); err == nil {
+			c.nextArrived.Store(true)
+		} else if !stopping.Load() {
 			cancel()
 		}
 	}()
--- a/gateway/keptconn_test.go
+++ b/gateway/keptconn_test.go
@@ -67,3 +67,36 @@
 		t.Errorf("%d connections were closed with unanswered bytes and without an announcement", n)
 	}
 }
+
+// Guards against a stop that reads a request which was sent behind another one, and closes
+// the connection without an answer to it.
+func TestStopAnswersRequestsThatWereSentAhead(t *testing.T) {
+	h := newHarness(t, nil, newPausingServer(t))
+	h.setTimeout(longTimeout)
+	var conns []*keptConn
+	for i := range quickCalls {
+		c := h.connect("/once/x")
+		conns = append(conns, c)
+		for _, ms := range []int{300 + 45*i, 0, 0} {
+			_, _ = fmt.Fprintf(c, callFormat, fmt.Sprint("/once/x?ms=", ms), longTimeout.Milliseconds(), len("quick"), "quick")
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	_, done := h.stop(shortNotice)
+	for i, c := range conns {
+		for request := range 3 {
+			_ = c.SetReadDeadline(time.Now().Add(longTimeout))
+			response, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				t.Errorf("connection %d, request %d: %v", i, request, err)
+				break
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			if last := request == 2; response.Close != last {
+				t.Errorf("connection %d, request %d: close announced %v, want %v", i, request, response.Close, last)
+			}
+		}
+		_ = c.Close()
+	}
+	<-done
+}
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -20,8 +20,9 @@
 	noBody bool
 	// http10 is set for callers that do not support chunked encoding.
 	http10 bool
-	// stopping reports whether the entry stops. It is asked when the head is written, so that
-	// the answer to a request that was in progress at the signal announces the close too.
+	// stopping reports whether the connection closes because the entry stops. It is asked when
+	// the head is written, so that the answer to a request that was in progress at the signal
+	// announces the close too.
 	stopping func() bool
 	// closeAfter is set if the connection closes after the response.
 	closeAfter bool
--- a/wire/socket.go
+++ b/wire/socket.go
@@ -67,6 +67,20 @@
 	return optionErr
 }
 
+// Unread returns the number of bytes that arrived on a connection and were not read, 0 if the
+// kernel does not tell.
+func Unread(conn syscall.Conn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	if err := raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
+		return 0
+	}
+	return unread
+}
+
 // CloseListener closes a listener and returns the connections that the kernel had established
 // for it and nobody had accepted. The kernel would reset them. It also returns connections
 // beside an error.
