Send no body behind an answer with status 204 or 304

What callers saw: bytes that are no answer before the next answer on a kept connection, if a server had answered a request of a streaming route with 204. The end of a chunked body followed the head, and callers read none behind a 204.

Change: answers with status 204 and 304 have no body and no framing of one.

Evidence: TestAnswerWithoutContentLeavesNoBytes failed before, on and on; before, the next answer was read as "0" (malformed HTTP response). It passes now.

--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -16,7 +16,7 @@
 type responseWriter struct {
 	conn net.Conn
 	out  *bufio.Writer
-	// noBody is set for responses to HEAD requests.
+	// noBody is set for responses to HEAD requests and for those whose status allows no body.
 	noBody bool
 	// http10 is set for callers that do not support chunked encoding.
 	http10 bool
@@ -43,7 +43,10 @@
 	w.extendDeadline()
 	w.started, w.status = true, status
 	fmt.Fprintf(w.out, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	hasNoContent := status == http.StatusNoContent || status == http.StatusNotModified
+	w.noBody = w.noBody || hasNoContent
 	switch {
+	case hasNoContent:
 	case contentLength >= 0:
 		header.Set("Content-Length", strconv.FormatInt(contentLength, 10))
 	case w.http10:
