Close a connection whose answer could not be sent

What callers may see: no answer to a request that they sent ahead, which is passed on although the answer before it could not be sent, for example because the caller did not read for 10 s. No answer can follow, since the writer keeps the error.

Change: a connection is not kept behind an answer that failed.

Evidence: TestAnswerThatFailsClosesItsConnection failed before, on and on.

--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -87,7 +87,9 @@
 		_, _ = w.out.WriteString("0\r\n\r\n")
 	}
 	w.ended = true
-	return w.out.Flush()
+	err := w.out.Flush()
+	w.closeAfter = w.closeAfter || err != nil
+	return err
 }
 
 // writeResponse writes a complete response, whose body is in parts.
--- a/gateway/reply_test.go
+++ b/gateway/reply_test.go
@@ -25,3 +25,14 @@
 		}
 	}
 }
+
+// Guards against a connection that is kept behind an answer which could not be sent, so that
+// a request which was sent ahead is passed on and its answer is lost.
+func TestAnswerThatFailsClosesItsConnection(t *testing.T) {
+	conn, caller := net.Pipe()
+	_ = caller.Close()
+	w := &responseWriter{conn: conn, out: bufio.NewWriter(conn), stopping: func() bool { return false }}
+	if err := w.writeResponse(http.StatusOK, http.Header{}, []byte("answer")); err == nil || !w.closeAfter {
+		t.Errorf("error %v, the connection closes: %v", err, w.closeAfter)
+	}
+}
