--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -16,12 +16,13 @@
 type responseWriter struct {
 	conn net.Conn
 	out  *bufio.Writer
-	// noBody is set for responses to HEAD requests.
+	// noBody is set for responses to HEAD requests and for those whose status allows no body.
 	noBody bool
 	// http10 is set for callers that do not support chunked encoding.
 	http10 bool
-	// stopping reports whether the entry stops. It is asked when the head is written, so that
-	// the answer to a request that was in progress at the signal announces the close too.
+	// stopping reports whether the connection closes because the entry stops. It is asked when
+	// the head is written, so that the answer to a request that was in progress at the signal
+	// announces the close too.
 	stopping func() bool
 	// closeAfter is set if the connection closes after the response.
 	closeAfter bool
@@ -42,7 +43,10 @@
 	w.extendDeadline()
 	w.started, w.status = true, status
 	fmt.Fprintf(w.out, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	hasNoContent := status == http.StatusNoContent || status == http.StatusNotModified
+	w.noBody = w.noBody || hasNoContent
 	switch {
+	case hasNoContent:
 	case contentLength >= 0:
 		header.Set("Content-Length", strconv.FormatInt(contentLength, 10))
 	case w.http10:
@@ -83,7 +87,9 @@
 		_, _ = w.out.WriteString("0\r\n\r\n")
 	}
 	w.ended = true
-	return w.out.Flush()
+	err := w.out.Flush()
+	w.closeAfter = w.closeAfter || err != nil
+	return err
 }
 
 // writeResponse writes a complete response, whose body is in parts.
