Keep callers' connections open until an answer has announced the close (INI daemon)

What callers saw: no answer to a request that they sent on a connection whose last answer had kept it, after the SIGTERM of an entry of the INI daemon.

Cause: whether an answer says Connection: close was decided when its request began, so a call in progress at the signal never announced it, and a stream has sent its head by then. As soon as no request was in progress, http.Server.Shutdown closed the idle connections.

Change: the head of the answer announces the close. Before Shutdown, the drain waits until no connection that was not told is in use or was within 0.5 s, at most until drain_timeout. The links to agents close after that, since such a request may still be served. MaxBytesReader gets the server's own writer, because it ends the connection only with that one.

A stop with calls in progress ends as soon as before, since all of them announce the close; one after a stream takes up to 0.5 s longer.

--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,174 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// callerIdleGrace is how long a connection whose last answer kept it stays open at the
+	// end of a drain. The caller may send its next request meanwhile.
+	callerIdleGrace = 500 * time.Millisecond
+	// callerPollInterval is the interval at which awaitQuiet looks at the connections.
+	callerPollInterval = 20 * time.Millisecond
+)
+
+// callerServer serves callers over HTTP/1.1. While the daemon drains, each answer announces
+// that its connection closes.
+type callerServer struct {
+	http     *http.Server
+	draining *atomic.Bool
+
+	mu    sync.Mutex
+	conns map[net.Conn]*callerConn
+}
+
+// callerConn is the state of a connection from a caller. The mutex of its server guards it.
+type callerConn struct {
+	// active is set while a request is being read or served.
+	active bool
+	// idleSince is when the connection was accepted or its last request ended.
+	idleSince time.Time
+	// closeAnnounced is set when an answer told the caller that the connection closes.
+	closeAnnounced bool
+}
+
+type callerConnKey struct{}
+
+func newCallerServer(handler http.Handler, draining *atomic.Bool) *callerServer {
+	s := &callerServer{draining: draining, conns: map[net.Conn]*callerConn{}}
+	s.http = &http.Server{
+		Handler: s.announceClose(handler), ReadHeaderTimeout: readHeaderTimeout,
+		ConnState: s.setState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, callerConnKey{}, s.add(conn))
+		},
+	}
+	return s
+}
+
+func (s *callerServer) add(conn net.Conn) *callerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &callerConn{idleSince: time.Now()}
+	s.conns[conn] = c
+	return c
+}
+
+// setState implements http.Server.ConnState.
+func (s *callerServer) setState(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.conns[conn]
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.active = true
+	case http.StateIdle:
+		c.active, c.idleSince = false, time.Now()
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, conn)
+	}
+}
+
+// announceClose makes the answers of handler announce the close from the beginning of the
+// drain. That is decided when the head of the answer is written, because a request may be in
+// progress for long at that time.
+func (s *callerServer) announceClose(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(callerConnKey{}).(*callerConn)
+		aw := &announcingWriter{ResponseWriter: w, server: s, conn: conn}
+		handler.ServeHTTP(aw, r)
+		aw.beforeHead()
+	})
+}
+
+// announcingWriter announces the close of the connection in the head of an answer.
+type announcingWriter struct {
+	http.ResponseWriter
+	server     *callerServer
+	conn       *callerConn
+	headBegins bool
+}
+
+func (w *announcingWriter) beforeHead() {
+	if w.headBegins {
+		return
+	}
+	w.headBegins = true
+	if !w.server.draining.Load() {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	w.server.mu.Lock()
+	w.conn.closeAnnounced = true
+	w.server.mu.Unlock()
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *announcingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.beforeHead()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *announcingWriter) Write(p []byte) (int, error) {
+	w.beforeHead()
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError implements the flush of http.ResponseController.
+func (w *announcingWriter) FlushError() error {
+	w.beforeHead()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Flush implements http.Flusher.
+func (w *announcingWriter) Flush() { _ = w.FlushError() }
+
+// Unwrap lets http.ResponseController reach the other methods of the server's writer.
+func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// serve serves the connections of listener until shutdown.
+func (s *callerServer) serve(listener net.Listener) error {
+	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve HTTP")
+	}
+	return nil
+}
+
+// awaitQuiet waits until no connection that was not told of its close is in use or was within
+// callerIdleGrace, or ctx ends.
+func (s *callerServer) awaitQuiet(ctx context.Context) {
+	ticker := time.NewTicker(callerPollInterval)
+	defer ticker.Stop()
+	for !s.isQuiet(time.Now()) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *callerServer) isQuiet(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if !c.closeAnnounced && (c.active || now.Sub(c.idleSince) < callerIdleGrace) {
+			return false
+		}
+	}
+	return true
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +22,6 @@
 	"go.uber.org/zap"
 )
 
-const readHeaderTimeout = 10 * time.Second
-
 // Daemon is one running process with its roles.
 type Daemon struct {
 	settings    *settings.Settings
@@ -47,7 +43,7 @@
 	rpc            *wire.Server
 	agent          *agent.Agent
 	entry          *entry.Entry
-	servers        []*http.Server
+	callers        *callerServer
 	standins       []*standin.Server
 	closers        []func()
 	failures       chan error
@@ -200,27 +196,14 @@
 	if err != nil {
 		return err
 	}
-	d.serveHTTP(listener, d.entry.Handler())
-	d.logger.Info("entry listens for callers", zap.String("address", listener.Addr().String()))
-	return nil
-}
-
-// serveHTTP serves HTTP until the daemon has drained. A response during the drain ends its
-// connection. Idle connections stay open until then, because a request may be on its way.
-func (d *Daemon) serveHTTP(listener net.Listener, handler http.Handler) {
-	server := &http.Server{ReadHeaderTimeout: readHeaderTimeout,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if d.draining.Load() {
-				w.Header().Set("Connection", "close")
-			}
-			handler.ServeHTTP(w, r)
-		})}
-	d.servers = append(d.servers, server)
+	d.callers = newCallerServer(d.entry.Handler(), &d.draining)
 	go func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			d.failures <- errors.Wrap(err, "serve HTTP")
+		if err := d.callers.serve(listener); err != nil {
+			d.failures <- err
 		}
 	}()
+	d.logger.Info("entry listens for callers", zap.String("address", listener.Addr().String()))
+	return nil
 }
 
 // drainDelay is how long a draining entry still accepts new requests, so that
@@ -277,23 +260,30 @@
 	drainErr := d.entry.Drain(ctx)
 	if drainErr != nil {
 		// The requests that remained were answered just now.
+		writeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutOffWriteTime)
+		defer cancel()
+		d.callers.awaitQuiet(writeCtx)
+		_ = d.callers.http.Shutdown(writeCtx)
+		return drainErr
+	}
+	d.callers.awaitQuiet(ctx)
+	if ctx.Err() != nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), cutOffWriteTime)
 		defer cancel()
 	}
-	for _, s := range d.servers {
-		// Shutdown waits until the responses are written completely.
-		if err := s.Shutdown(ctx); err != nil && drainErr == nil {
-			return errors.Wrap(err, "shut down caller listener")
-		}
+	// Shutdown waits until the responses are written completely.
+	if err := d.callers.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "shut down caller listener")
 	}
-	return drainErr
+	d.entry.CloseLinks(ctx)
+	return nil
 }
 
 // Close stops all roles immediately, without draining.
 func (d *Daemon) Close() {
-	for _, s := range d.servers {
-		_ = s.Close()
+	if d.callers != nil {
+		_ = d.callers.http.Close()
 	}
 	if d.entry != nil {
 		d.entry.Close()
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -17,24 +17,41 @@
 	reader *bufio.Reader
 }
 
+// keptAnswer is a complete answer.
+type keptAnswer struct {
+	status  int
+	verdict string
+	// closes is set if the answer announces that the connection closes.
+	closes bool
+}
+
 // call sends a call to book-desk and returns the status of the complete response, its verdict,
 // and whether the entry closes the connection after it.
 func (k *keptConnection) call() (status int, verdict string, closes bool, err error) {
+	a, err := k.send("GET /services/book-desk/slots HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer demo-key\r\n\r\n", nil)
+	return a.status, a.verdict, a.closes, err
+}
+
+// send sends a request, calls sent if it is not nil, and waits for the complete answer.
+func (k *keptConnection) send(request string, sent func()) (keptAnswer, error) {
 	_ = k.conn.SetDeadline(time.Now().Add(20 * time.Second))
-	request := "GET /services/book-desk/slots HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer demo-key\r\n\r\n"
-	if _, err := k.conn.Write([]byte(request)); err != nil {
-		return 0, "", false, err
+	_, err := k.conn.Write([]byte(request))
+	if sent != nil {
+		sent()
+	}
+	if err != nil {
+		return keptAnswer{}, err
 	}
 	resp, err := http.ReadResponse(k.reader, nil)
 	if err != nil {
-		return 0, "", false, err
+		return keptAnswer{}, err
 	}
 	defer resp.Body.Close()
 	var body strings.Builder
 	if _, err := bufio.NewReader(resp.Body).WriteTo(&body); err != nil {
-		return 0, "", false, err
+		return keptAnswer{}, err
 	}
-	return resp.StatusCode, resp.Header.Get("X-Arbutusmast-Verdict"), resp.Close, nil
+	return keptAnswer{resp.StatusCode, resp.Header.Get("X-Arbutusmast-Verdict"), resp.Close}, nil
 }
 
 // TestRequestsDuringAStop guards against requests on connections in use that an entry cuts
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -42,7 +42,6 @@
 		e.awaitIdle(graceCtx)
 		return ctx.Err()
 	}
-	e.closeLinks(ctx)
 	return nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,9 +172,9 @@
 // that shuts down. Agents that miss its last acknowledgements keep the answers.
 const linkCloseTimeout = 2 * time.Second
 
-// closeLinks asks all links to close once they have nothing left to send, and waits
-// up to linkCloseTimeout until they have stopped.
-func (e *Entry) closeLinks(ctx context.Context) {
+// CloseLinks asks all links to close once they have nothing left to send, and waits
+// up to linkCloseTimeout until they have stopped. No request may follow.
+func (e *Entry) CloseLinks(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, linkCloseTimeout)
 	defer cancel()
 	e.mu.Lock()
--- a/entry/request.go
+++ b/entry/request.go
@@ -58,13 +58,25 @@
 
 // readBody reads the request body up to MaxBodyBytes.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(serverWriter(w), r.Body, e.options.MaxBodyBytes))
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInvalid, "read the request body")
 	}
 	return body, nil
 }
 
+// serverWriter returns the ResponseWriter of the HTTP server. MaxBytesReader closes the
+// connection after a body that is too large only with that one.
+func serverWriter(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = wrapper.Unwrap()
+	}
+}
+
 // httpStatus maps a reason to an HTTP status code.
 func httpStatus(reason verdict.Reason) int {
 	switch reason {
