Answer operators' calls that a stopping control member has accepted

What operators saw: a closed connection without an answer to a Config.Put or Config.Get that was in progress when a control member stopped, or that arrived while it left its group. The state may have been committed or not.

Cause: the process ended after the departure from the group without shutting the operators' listener down. A leader without departure ends 5 ms after the signal.

Change: answers announce the close from the signal on; after the departure and before the member stops, the calls that arrived are answered, for at most 1 s and within the drain time. What remains then is canceled, which its caller gets as 503. The server of callers of the INI daemon does that too, hence its new name gracefulServer (graceful.go).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,7 +43,7 @@
 	rpc            *wire.Server
 	agent          *agent.Agent
 	entry          *entry.Entry
-	callers        *callerServer
+	callers        *gracefulServer
 	standins       []*standin.Server
 	closers        []func()
 	failures       chan error
@@ -196,7 +196,7 @@
 	if err != nil {
 		return err
 	}
-	d.callers = newCallerServer(d.entry.Handler(), &d.draining)
+	d.callers = newGracefulServer(d.entry.Handler(), &d.draining)
 	go func() {
 		if err := d.callers.serve(listener); err != nil {
 			d.failures <- err
@@ -266,14 +266,7 @@
 		_ = d.callers.http.Shutdown(writeCtx)
 		return drainErr
 	}
-	d.callers.awaitQuiet(ctx)
-	if ctx.Err() != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), cutOffWriteTime)
-		defer cancel()
-	}
-	// Shutdown waits until the responses are written completely.
-	if err := d.callers.http.Shutdown(ctx); err != nil {
+	if err := d.callers.shutdown(ctx); err != nil {
 		return errors.Wrap(err, "shut down caller listener")
 	}
 	d.entry.CloseLinks(ctx)
--- a/daemon/callers.go
+++ b/daemon/graceful.go
@@ -13,25 +13,27 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	// callerIdleGrace is how long a connection whose last answer kept it stays open at the
+	// connIdleGrace is how long a connection whose last answer kept it stays open at the
 	// end of a drain. The caller may send its next request meanwhile.
-	callerIdleGrace = 500 * time.Millisecond
-	// callerPollInterval is the interval at which awaitQuiet looks at the connections.
-	callerPollInterval = 20 * time.Millisecond
+	connIdleGrace = 500 * time.Millisecond
+	// connPollInterval is the interval at which awaitQuiet looks at the connections.
+	connPollInterval = 20 * time.Millisecond
 )
 
-// callerServer serves callers over HTTP/1.1. While the daemon drains, each answer announces
+// gracefulServer serves HTTP/1.1. While the daemon drains, each answer announces
 // that its connection closes.
-type callerServer struct {
+type gracefulServer struct {
 	http     *http.Server
 	draining *atomic.Bool
+	// cancelRequests ends the contexts of all requests.
+	cancelRequests context.CancelFunc
 
 	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
+	conns map[net.Conn]*httpConn
 }
 
-// callerConn is the state of a connection from a caller. The mutex of its server guards it.
-type callerConn struct {
+// httpConn is the state of a connection. The mutex of its server guards it.
+type httpConn struct {
 	// active is set while a request is being read or served.
 	active bool
 	// idleSince is when the connection was accepted or its last request ended.
@@ -40,30 +42,32 @@
 	closeAnnounced bool
 }
 
-type callerConnKey struct{}
+type httpConnKey struct{}
 
-func newCallerServer(handler http.Handler, draining *atomic.Bool) *callerServer {
-	s := &callerServer{draining: draining, conns: map[net.Conn]*callerConn{}}
+func newGracefulServer(handler http.Handler, draining *atomic.Bool) *gracefulServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &gracefulServer{draining: draining, cancelRequests: cancel, conns: map[net.Conn]*httpConn{}}
 	s.http = &http.Server{
-		Handler: s.announceClose(handler), ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+		Handler:     s.announceClose(handler), ReadHeaderTimeout: readHeaderTimeout,
 		ConnState: s.setState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, callerConnKey{}, s.add(conn))
+			return context.WithValue(ctx, httpConnKey{}, s.add(conn))
 		},
 	}
 	return s
 }
 
-func (s *callerServer) add(conn net.Conn) *callerConn {
+func (s *gracefulServer) add(conn net.Conn) *httpConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := &callerConn{idleSince: time.Now()}
+	c := &httpConn{idleSince: time.Now()}
 	s.conns[conn] = c
 	return c
 }
 
 // setState implements http.Server.ConnState.
-func (s *callerServer) setState(conn net.Conn, state http.ConnState) {
+func (s *gracefulServer) setState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c, ok := s.conns[conn]
@@ -83,9 +87,9 @@
 // announceClose makes the answers of handler announce the close from the beginning of the
 // drain. That is decided when the head of the answer is written, because a request may be in
 // progress for long at that time.
-func (s *callerServer) announceClose(handler http.Handler) http.Handler {
+func (s *gracefulServer) announceClose(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _ := r.Context().Value(callerConnKey{}).(*callerConn)
+		conn, _ := r.Context().Value(httpConnKey{}).(*httpConn)
 		aw := &announcingWriter{ResponseWriter: w, server: s, conn: conn}
 		handler.ServeHTTP(aw, r)
 		aw.beforeHead()
@@ -95,8 +99,8 @@
 // announcingWriter announces the close of the connection in the head of an answer.
 type announcingWriter struct {
 	http.ResponseWriter
-	server     *callerServer
-	conn       *callerConn
+	server     *gracefulServer
+	conn       *httpConn
 	headBegins bool
 }
 
@@ -141,7 +145,7 @@
 func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // serve serves the connections of listener until shutdown.
-func (s *callerServer) serve(listener net.Listener) error {
+func (s *gracefulServer) serve(listener net.Listener) error {
 	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve HTTP")
 	}
@@ -149,9 +153,9 @@
 }
 
 // awaitQuiet waits until no connection that was not told of its close is in use or was within
-// callerIdleGrace, or ctx ends.
-func (s *callerServer) awaitQuiet(ctx context.Context) {
-	ticker := time.NewTicker(callerPollInterval)
+// connIdleGrace, or ctx ends.
+func (s *gracefulServer) awaitQuiet(ctx context.Context) {
+	ticker := time.NewTicker(connPollInterval)
 	defer ticker.Stop()
 	for !s.isQuiet(time.Now()) {
 		select {
@@ -162,13 +166,27 @@
 	}
 }
 
-func (s *callerServer) isQuiet(now time.Time) bool {
+func (s *gracefulServer) isQuiet(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
-		if !c.closeAnnounced && (c.active || now.Sub(c.idleSince) < callerIdleGrace) {
+		if !c.closeAnnounced && (c.active || now.Sub(c.idleSince) < connIdleGrace) {
 			return false
 		}
 	}
 	return true
 }
+
+// shutdown closes the listener and the connections, and waits for the answers to requests that
+// have arrived. At the end of ctx, it cancels the requests that remain, and waits another
+// cutOffWriteTime for their answers.
+func (s *gracefulServer) shutdown(ctx context.Context) error {
+	s.awaitQuiet(ctx)
+	if err := s.http.Shutdown(ctx); err == nil {
+		return nil
+	}
+	s.cancelRequests()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutOffWriteTime)
+	defer cancel()
+	return s.http.Shutdown(ctx)
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -43,6 +43,9 @@
 	// leaveTimeout is how long a stopping control member waits for the group's
 	// reply. It is longer than an election, during which no member replies.
 	leaveTimeout = 3 * time.Second
+	// operatorStopTimeout is how long a stopping control member waits for operators' calls in
+	// progress, which are answered after 0.9 s at most.
+	operatorStopTimeout = time.Second
 	// memoryLimitRatio is the fraction of the host's memory that is set as the soft
 	// memory limit of the Go runtime. Near it, garbage is collected more often.
 	memoryLimitRatio = 0.7
@@ -256,9 +259,9 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	go server.Serve()
-	go d.serve(&http.Server{
-		Handler: platform.OperatorHandler(control, d.logger), ReadHeaderTimeout: readHeaderTimeout,
-	}, operatorListener)
+	stopping := atomic.Bool{}
+	operators := newGracefulServer(platform.OperatorHandler(control, d.logger), &stopping)
+	go d.serve(operators.http, operatorListener)
 	// The member keeps running after the signal until the group has decided whether
 	// to remove it.
 	runCtx, stop := context.WithCancel(context.Background())
@@ -270,9 +273,13 @@
 		return err
 	case <-ctx.Done():
 	}
-	leaveCtx, cancel := context.WithTimeout(context.Background(), min(leaveTimeout, s.DrainTimeout-shutdownReserve))
+	stopping.Store(true)
+	drainCtx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout-shutdownReserve)
 	defer cancel()
+	leaveCtx, cancelLeave := context.WithTimeout(drainCtx, leaveTimeout)
+	defer cancelLeave()
 	control.Leave(leaveCtx)
+	d.stopOperators(drainCtx, operators)
 	stop()
 	if err := <-runErr; !errors.Is(err, fleet.ErrRemoved) {
 		return err
@@ -280,6 +287,15 @@
 	return nil
 }
 
+// stopOperators waits until the operators' calls that have arrived are answered.
+func (d *platformDaemon) stopOperators(ctx context.Context, operators *gracefulServer) {
+	ctx, cancel := context.WithTimeout(ctx, operatorStopTimeout)
+	defer cancel()
+	if err := operators.shutdown(ctx); err != nil {
+		d.logger.Warn("stopping with operators' calls in progress", zap.Error(err))
+	}
+}
+
 // runAgent runs the agent beside a backend server until ctx ends.
 func (d *platformDaemon) runAgent(ctx context.Context, s *platform.Settings) error {
 	peerListener, err := net.Listen("tcp", s.PeerListenAddress(s.AgentAddress()))
