Handle signals before the first log line of a platform daemon

Callers and operators saw a process that ended by itself: "daemon started" was logged before the handlers of SIGTERM and SIGHUP were registered, and SIGHUP's only once its goroutine ran, so that the default action of a signal that came in between ended the process.

The handlers are registered before the line is logged, and the channel of SIGHUP is handed to the goroutine that reads it, so that a signal waits there until then.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -77,11 +77,14 @@
 	}
 	d.pool = wire.NewPool(d.dial)
 	d.settings.Store(s)
-	d.logger.Info("daemon started", zap.Bool("first_start", s.FirstStart), zap.Strings("seeds", s.Seeds),
-		zap.String("failure_domain", s.FailureDomain))
+	// Signals are handled from before the first log line on, which tells that the daemon runs.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go d.reloadSettings(ctx)
+	sighups := make(chan os.Signal, 1)
+	signal.Notify(sighups, syscall.SIGHUP)
+	d.logger.Info("daemon started", zap.Bool("first_start", s.FirstStart), zap.Strings("seeds", s.Seeds),
+		zap.String("failure_domain", s.FailureDomain))
+	go d.reloadSettings(ctx, sighups)
 	d.serveMetrics(s.MetricsAddress())
 	switch s.Role {
 	case platform.RoleEntry:
@@ -99,11 +102,9 @@
 // because it may change without a signal.
 const settingsPollInterval = time.Second
 
-// reloadSettings reloads the settings file when it changes or SIGHUP arrives. Only
+// reloadSettings reloads the settings file when it changes or a SIGHUP arrives. Only
 // the seeds affect a running process.
-func (d *platformDaemon) reloadSettings(ctx context.Context) {
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
+func (d *platformDaemon) reloadSettings(ctx context.Context, sighups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	var lastRead os.FileInfo
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -54,7 +54,7 @@
 	d.settings.Store(settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go d.reloadSettings(ctx)
+	go d.reloadSettings(ctx, nil)
 
 	waitFor := func(what string, condition func() bool) {
 		t.Helper()
