Answer generations whose server answers just as a stop ends

What callers saw: a head with status 200 and a reset, or a reset without any byte, if the end of the drain came after the server's head and before the entry had passed it on.

Cause: an attempt that was answered is forwarded although the request has been canceled; the write deadline has passed and the connection is aborted.

Change: what is canceled by the stop before its head is sent gets 502 with may_have_run.

The moment lasts microseconds without load.

--- a/gateway/endofstop_test.go
+++ b/gateway/endofstop_test.go
@@ -105,3 +105,31 @@
 		t.Errorf("read %d bytes of the generation: %v", len(body), err)
 	}
 }
+
+// cutOffDialect cuts off all requests when the head of an answer is read.
+type cutOffDialect struct {
+	testDialect
+	gateway *Gateway
+}
+
+func (d cutOffDialect) ReadResponse(status int, header http.Header) ResponseMetadata {
+	d.gateway.mu.Lock()
+	for c := range d.gateway.conns {
+		c.cutOff()
+	}
+	d.gateway.mu.Unlock()
+	return d.testDialect.ReadResponse(status, header)
+}
+
+// Guards against a generation that is reset without an answer, because the stop ends between
+// the head of its server's answer and that to the caller.
+func TestStopAnswersGenerationsWhoseServersHaveJustAnswered(t *testing.T) {
+	h := newHarness(t, nil, newPausingServer(t))
+	h.gateway.options.Dialect = cutOffDialect{gateway: h.gateway}
+	for range quickCalls {
+		status, header, _, err := h.call("/stream/x?ms=500")
+		if err != nil || status != http.StatusBadGateway || header.Get(verdictHeader) != verdictMaybe {
+			t.Errorf("status %d, %v, want 502 %s", status, err, verdictMaybe)
+		}
+	}
+}
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -293,6 +293,13 @@
 func (x *exchange) forwardResponse(ctx context.Context, u *upstream, body [][]byte) {
 	defer u.close()
 	if x.isStream(u) {
+		if isStopping(ctx) {
+			// The head is not sent yet, so the caller can still get an answer that is whole.
+			x.reportResult(u.server.ID, placement.Canceled)
+			x.late.stop()
+			x.cutOff(dispatch.Answered)
+			return
+		}
 		x.forwardStream(ctx, u)
 		return
 	}
