Never shrink a send buffer at the end of a stop

What callers could see, by reading only: none of what is held is lost, but a buffer that the kernel has made larger than net.core.wmem_max allows a process to ask for would shrink to that, and the writer wait again. Here wmem_max is 4 MiB, so it can not be shown.

Change: the entry asks for what Linux allows by default (212,992 bytes, which the kernel doubles), and not where the buffer is that large already.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -22,9 +22,10 @@
 	// caller could know of the stop arrives meanwhile.
 	drainIdleGrace = 500 * time.Millisecond
 	// handOverTime is the time before the end of the drain from which the kernel may hold
-	// handOverBytes of each answer that its caller has not received.
+	// twice handOverBytes of each answer that its caller has not received. Linux allows that
+	// many by default; asking for more could shrink a buffer that the kernel has made larger.
 	handOverTime  = 500 * time.Millisecond
-	handOverBytes = 1 << 20
+	handOverBytes = 212992
 	// cutOffGrace is the time after the end of the drain in which the requests that
 	// remain are answered and their callers read the answers.
 	cutOffGrace = 200 * time.Millisecond
--- a/wire/socket.go
+++ b/wire/socket.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// RaiseSendBuffer lets the kernel hold at least so many bytes that were written to a
-// connection and not yet received. A write that waits for room goes on. The kernel may allow
-// fewer bytes.
+// RaiseSendBuffer lets the kernel hold more bytes that were written to a connection and not yet
+// received: twice the given number, as far as net.core.wmem_max allows. A write that waits
+// for room goes on. A buffer that the kernel has already made larger stays as it is.
 func RaiseSendBuffer(conn syscall.Conn, bytes int) error {
 	raw, err := conn.SyscallConn()
 	if err != nil {
@@ -57,7 +57,7 @@
 	var optionErr error
 	err = raw.Control(func(fd uintptr) {
 		var held int
-		if held, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF); optionErr == nil && held < bytes {
+		if held, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF); optionErr == nil && held < 2*bytes {
 			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
 		}
 	})
