End a drain at its deadline

The drain slept for its poll interval of 50 ms after the deadline before it answered the requests that remain, which have 0.2 s for that until the process ends. It sleeps until the deadline at most.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -55,7 +55,10 @@
 		if drain.Deadline-g.elapsed() < handOverTime {
 			g.handOver()
 		}
-		time.Sleep(drainPollInterval)
+		select {
+		case <-ctx.Done():
+		case <-time.After(drainPollInterval):
+		}
 	}
 	left, open := g.activeRequests.Load(), g.connections()
 	g.cutOff()
