Serve connections that are established when the INI daemon or a control member stops

What callers saw: a reset without an answer on a connection that had just been established, since the kernel resets what nobody has accepted when a listener is closed.

Change: the listener of gracefulServer returns what the kernel has queued (wire.CloseListener, as the platform entry does) before it closes. Connections on which no request has begun by then are closed, because http.Server.Shutdown would wait 5 s for them.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -192,13 +192,14 @@
 		StartTimeout: s.StartTimeout, RequestTimeout: s.RequestTimeout, LedgerRetention: s.LedgerRetention,
 		MaxStreams: s.MaxStreams, RecordEvent: d.recordEvent,
 	})
-	listener, err := d.listenCallers(s.Listen)
+	callers := newGracefulServer(d.entry.Handler(), &d.draining)
+	listener, err := d.listenCallers(callers, s.Listen)
 	if err != nil {
 		return err
 	}
-	d.callers = newGracefulServer(d.entry.Handler(), &d.draining)
+	d.callers = callers
 	go func() {
-		if err := d.callers.serve(listener); err != nil {
+		if err := callers.serve(listener); err != nil {
 			d.failures <- err
 		}
 	}()
@@ -262,6 +263,7 @@
 		// The requests that remained were answered just now.
 		writeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutOffWriteTime)
 		defer cancel()
+		d.callers.stopAccepting(writeCtx)
 		d.callers.awaitQuiet(writeCtx)
 		_ = d.callers.http.Shutdown(writeCtx)
 		return drainErr
--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -27,6 +27,10 @@
 	draining *atomic.Bool
 	// cancelRequests ends the contexts of all requests.
 	cancelRequests context.CancelFunc
+	// listener is nil before the server listens, and accepted is closed when it has accepted
+	// the last connection.
+	listener *gracefulListener
+	accepted chan struct{}
 
 	mu    sync.Mutex
 	conns map[net.Conn]*httpConn
@@ -34,6 +38,8 @@
 
 // httpConn is the state of a connection. The mutex of its server guards it.
 type httpConn struct {
+	// used is set when the first request has begun.
+	used bool
 	// active is set while a request is being read or served.
 	active bool
 	// idleSince is when the connection was accepted or its last request ended.
@@ -46,7 +52,8 @@
 
 func newGracefulServer(handler http.Handler, draining *atomic.Bool) *gracefulServer {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &gracefulServer{draining: draining, cancelRequests: cancel, conns: map[net.Conn]*httpConn{}}
+	s := &gracefulServer{draining: draining, cancelRequests: cancel, accepted: make(chan struct{}),
+		conns: map[net.Conn]*httpConn{}}
 	s.http = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		Handler:     s.announceClose(handler), ReadHeaderTimeout: readHeaderTimeout,
@@ -76,7 +83,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.active = true
+		c.used, c.active = true, true
 	case http.StateIdle:
 		c.active, c.idleSince = false, time.Now()
 	case http.StateClosed, http.StateHijacked:
@@ -144,12 +151,34 @@
 // Unwrap lets http.ResponseController reach the other methods of the server's writer.
 func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// listen opens the listener, which serve must be given, as it is or with TLS.
+func (s *gracefulServer) listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s.listener = &gracefulListener{TCPListener: listener.(*net.TCPListener)}
+	return s.listener, nil
+}
+
 // serve serves the connections of listener until shutdown.
 func (s *gracefulServer) serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve HTTP")
+	defer close(s.accepted)
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) || s.listener.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve HTTP")
+}
+
+// stopAccepting closes the listener. Connections that the kernel has established by then are
+// served.
+func (s *gracefulServer) stopAccepting(ctx context.Context) {
+	s.listener.stop()
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
 	}
-	return nil
 }
 
 // awaitQuiet waits until no connection that was not told of its close is in use or was within
@@ -177,11 +206,25 @@
 	return true
 }
 
+// closeUnused closes the connections on which no request has begun. http.Server.Shutdown waits
+// 5 s for one.
+func (s *gracefulServer) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, c := range s.conns {
+		if !c.used {
+			_ = conn.Close()
+		}
+	}
+}
+
 // shutdown closes the listener and the connections, and waits for the answers to requests that
 // have arrived. At the end of ctx, it cancels the requests that remain, and waits another
 // cutOffWriteTime for their answers.
 func (s *gracefulServer) shutdown(ctx context.Context) error {
+	s.stopAccepting(ctx)
 	s.awaitQuiet(ctx)
+	s.closeUnused()
 	if err := s.http.Shutdown(ctx); err == nil {
 		return nil
 	}
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -51,8 +51,8 @@
 
 // listenCallers opens the listener for callers, with TLS if caller keys are
 // loaded.
-func (d *Daemon) listenCallers(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+func (d *Daemon) listenCallers(server *gracefulServer, address string) (net.Listener, error) {
+	listener, err := server.listen(address)
 	if err != nil || d.callerKeys == nil {
 		return listener, errors.Wrap(err, "listen for callers")
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -254,14 +254,14 @@
 	if err != nil {
 		return err
 	}
-	operatorListener, err := net.Listen("tcp", s.OperatorListen)
+	stopping := atomic.Bool{}
+	operators := newGracefulServer(platform.OperatorHandler(control, d.logger), &stopping)
+	operatorListener, err := operators.listen(s.OperatorListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
 	go server.Serve()
-	stopping := atomic.Bool{}
-	operators := newGracefulServer(platform.OperatorHandler(control, d.logger), &stopping)
-	go d.serve(operators.http, operatorListener)
+	go d.serveOperators(operators, operatorListener)
 	// The member keeps running after the signal until the group has decided whether
 	// to remove it.
 	runCtx, stop := context.WithCancel(context.Background())
@@ -287,6 +287,12 @@
 	return nil
 }
 
+func (d *platformDaemon) serveOperators(operators *gracefulServer, listener net.Listener) {
+	if err := operators.serve(listener); err != nil {
+		d.logger.Warn("HTTP server failed", zap.String("address", listener.Addr().String()), zap.Error(err))
+	}
+}
+
 // stopOperators waits until the operators' calls that have arrived are answered.
 func (d *platformDaemon) stopOperators(ctx context.Context, operators *gracefulServer) {
 	ctx, cancel := context.WithTimeout(ctx, operatorStopTimeout)
