Read what callers still send before the end of a stop closes their connections

What callers may see: a reset in the middle of an answer during a stop of the INI daemon or of a control member, if they had sent more on the connection than was read, such as a pipelined request. net/http closes the connection after an answer that announced the close, unread bytes make the kernel reset it, and what it had not sent yet is lost.

Change: behind an announced close, the write side is closed and up to 64 KiB are read for at most 0.5 s, as the platform entry does. Shutdown waits for that; Close does not.

A stop takes up to 0.5 s longer if callers do not close a connection whose close was announced.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -278,7 +278,7 @@
 // Close stops all roles immediately, without draining.
 func (d *Daemon) Close() {
 	if d.callers != nil {
-		_ = d.callers.http.Close()
+		d.callers.close()
 	}
 	if d.entry != nil {
 		d.entry.Close()
--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -38,6 +38,8 @@
 
 // httpConn is the state of a connection. The mutex of its server guards it.
 type httpConn struct {
+	// linger is nil if the connection is not one of a gracefulListener.
+	linger *lingerConn
 	// used is set when the first request has begun.
 	used bool
 	// active is set while a request is being read or served.
@@ -68,7 +70,7 @@
 func (s *gracefulServer) add(conn net.Conn) *httpConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := &httpConn{idleSince: time.Now()}
+	c := &httpConn{linger: lingerOf(conn), idleSince: time.Now()}
 	s.conns[conn] = c
 	return c
 }
@@ -122,6 +124,9 @@
 	w.Header().Set("Connection", "close")
 	w.server.mu.Lock()
 	w.conn.closeAnnounced = true
+	if w.conn.linger != nil {
+		w.conn.linger.linger()
+	}
 	w.server.mu.Unlock()
 }
 
@@ -233,3 +238,15 @@
 	defer cancel()
 	return s.http.Shutdown(ctx)
 }
+
+// close closes all connections at once.
+func (s *gracefulServer) close() {
+	s.mu.Lock()
+	for _, c := range s.conns {
+		if c.linger != nil {
+			c.linger.abandon()
+		}
+	}
+	s.mu.Unlock()
+	_ = s.http.Close()
+}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"crypto/tls"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,14 @@
 
 // Accept implements net.Listener. It must not be called concurrently.
 func (l *gracefulListener) Accept() (net.Conn, error) {
+	conn, err := l.accept()
+	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+		conn = &lingerConn{TCPConn: tcp}
+	}
+	return conn, err
+}
+
+func (l *gracefulListener) accept() (net.Conn, error) {
 	conn, err := l.TCPListener.Accept()
 	if err == nil || !l.stopping.Load() {
 		return conn, err
@@ -40,3 +50,40 @@
 	conn, l.queued = l.queued[0], l.queued[1:]
 	return conn, nil
 }
+
+const (
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 64 << 10
+)
+
+// lingerConn is a connection that can be closed without a reset. Closing with unread bytes
+// would reset it, and the caller could lose the last answer.
+type lingerConn struct {
+	*net.TCPConn
+	lingers, abandoned atomic.Bool
+}
+
+// linger makes the next Close read until the caller has closed its side.
+func (c *lingerConn) linger() { c.lingers.Store(true) }
+
+// abandon makes Close close the connection at once.
+func (c *lingerConn) abandon() { c.abandoned.Store(true) }
+
+// Close implements net.Conn. Another Close during the linger ends it.
+func (c *lingerConn) Close() error {
+	if !c.lingers.Swap(false) || c.abandoned.Load() || c.CloseWrite() != nil {
+		return c.TCPConn.Close()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
+	return c.TCPConn.Close()
+}
+
+// lingerOf returns the lingerConn of a connection with or without TLS.
+func lingerOf(conn net.Conn) *lingerConn {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	c, _ := conn.(*lingerConn)
+	return c
+}
