Refuse calls between daemons that arrive after the last reply of a shutdown

What peers saw: a call that ran and got no reply (verdict may_have_run), if it arrived while the daemon shut its RPC server down (INI daemon; the platform daemons do not use Shutdown).

Cause: Shutdown closed the sending side of all connections as soon as no call was in progress. net/rpc went on reading calls and ran them, and could not send the replies.

Change: from that moment calls are not run, and get an error with the verdict not_run, which peers of earlier versions decode too. A connection stays open for 0.1 s after its last call for this. The client takes a new connection for its next call after such an error.

--- a/wire/client.go
+++ b/wire/client.go
@@ -36,6 +36,14 @@
 	activity   *activityConn
 	pending    atomic.Int64
 	monitoring atomic.Bool
+	// retired is set when the peer shuts down. The last call closes the connection.
+	retired atomic.Bool
+}
+
+func (c *clientConn) endCall() {
+	if c.pending.Add(-1) == 0 && c.retired.Load() {
+		_ = c.rpc.Close()
+	}
 }
 
 // Client calls one address. It connects on demand and reconnects after a
@@ -87,6 +95,16 @@
 	_ = conn.rpc.Close()
 }
 
+// retire makes the next call open a new connection. Calls in progress continue.
+func (c *Client) retire(conn *clientConn) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	conn.retired.Store(true)
+}
+
 // Call calls a method and waits for the reply until ctx ends. For a transport
 // failure, the verdict of the error is NotRun only if the request never left this
 // process. A call that times out leaves the connection open for other calls,
@@ -110,7 +128,7 @@
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonConnectionLost, "connect to %s", c.address)
 	}
 	conn.pending.Add(1)
-	defer conn.pending.Add(-1)
+	defer conn.endCall()
 	c.monitor(conn)
 	// net/rpc decodes a late reply into the value that it was given, so an abandoned
 	// call must not share that value with the caller.
@@ -133,6 +151,9 @@
 	}
 	var remote rpc.ServerError
 	if errors.As(call.Error, &remote) {
+		if remote.Error() == refusal {
+			c.retire(conn)
+		}
 		if e, ok := verdict.Decode(remote.Error()); ok {
 			return e
 		}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -8,6 +8,8 @@
 	"net/rpc"
 	"sync/atomic"
 	"time"
+
+	"arbutusmast.example/arbutusmast/core/verdict"
 )
 
 // trackedRequest wraps the body of a request that is passed to the codec. written
@@ -106,20 +108,38 @@
 // ReadResponseBody implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseBody(body any) error { return c.dec.Decode(body) }
 
+// refusedMethod names no method, so net/rpc does not run the call.
+const refusedMethod = "Wire.Refused"
+
+// refusal is the error of a call that a server which shuts down has not run.
+var refusal = verdict.Encode(verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the peer shuts down"))
+
 // serverCodec counts the calls in progress, so that a shutdown can wait for their
-// replies.
+// replies, and refuses calls after that.
 type serverCodec struct {
 	gobCodec
-	active *atomic.Int64
+	server *Server
+	// lastRequest is the time of the last call in nanoseconds.
+	lastRequest atomic.Int64
+	// refused is the sequence number of the last refused call plus 1.
+	refused atomic.Uint64
+	// closing is set when the sending side is closed. The mutex of the server guards it.
+	closing bool
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	err := c.dec.Decode(r)
-	if err == nil && r.ServiceMethod != pingMethod {
-		c.active.Add(1)
+	if err != nil || r.ServiceMethod == pingMethod {
+		return err
 	}
-	return err
+	c.server.activeCalls.Add(1)
+	c.lastRequest.Store(time.Now().UnixNano())
+	if c.server.refusing.Load() {
+		c.refused.Store(r.Seq + 1)
+		r.ServiceMethod = refusedMethod
+	}
+	return nil
 }
 
 // ReadRequestBody implements rpc.ServerCodec.
@@ -128,7 +148,10 @@
 // WriteResponse implements rpc.ServerCodec.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	if r.ServiceMethod != pingMethod {
-		defer c.active.Add(-1)
+		defer c.server.activeCalls.Add(-1)
+	}
+	if r.Seq+1 == c.refused.Load() {
+		r.Error = refusal
 	}
 	err := c.write(r, body)
 	if err != nil {
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -77,15 +77,17 @@
 	rpc         *rpc.Server
 	listener    net.Listener
 	activeCalls atomic.Int64
+	// refusing is set when calls that arrive are answered that they were not run.
+	refusing atomic.Bool
 
 	mu     sync.Mutex
-	conns  map[net.Conn]struct{}
+	conns  map[net.Conn]*serverCodec
 	closed bool
 }
 
 // NewServer returns a server for a listener.
 func NewServer(listener net.Listener) *Server {
-	s := &Server{rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]struct{}{}}
+	s := &Server{rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]*serverCodec{}}
 	// The method set of pingService is fixed, so the registration cannot fail.
 	_ = s.rpc.RegisterName("Wire", pingService{})
 	return s
@@ -103,12 +105,13 @@
 		if err != nil {
 			return
 		}
-		if !s.track(conn) {
+		codec := &serverCodec{gobCodec: newGobCodec(conn), server: s}
+		if !s.track(conn, codec) {
 			_ = conn.Close()
 			return
 		}
 		go func() {
-			s.rpc.ServeCodec(&serverCodec{newGobCodec(conn), &s.activeCalls})
+			s.rpc.ServeCodec(codec)
 			s.untrack(conn)
 		}()
 	}
@@ -116,13 +119,13 @@
 
 // track adds a connection to those that Close closes. It returns false after
 // Close.
-func (s *Server) track(conn net.Conn) bool {
+func (s *Server) track(conn net.Conn, codec *serverCodec) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = codec
 	return true
 }
 
@@ -133,31 +136,49 @@
 }
 
 // Shutdown stops accepting connections, waits for the replies to the calls in
-// progress and then for the peers to close their connections. It closes the
-// remaining connections when ctx ends, or closeTimeout after the last reply.
+// progress, refuses later calls and waits for the peers to close their connections. It
+// closes the remaining connections when ctx ends, or closeTimeout after the last reply.
 func (s *Server) Shutdown(ctx context.Context) error {
 	_ = s.listener.Close()
 	defer s.Close()
-	if err := waitUntil(ctx, func() bool { return s.activeCalls.Load() == 0 }); err != nil {
+	isIdle := func() bool { return s.activeCalls.Load() == 0 }
+	if err := waitUntil(ctx, isIdle); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	for conn := range s.conns {
-		CloseWrite(conn)
+	s.refusing.Store(true)
+	// Calls that were read before are still run.
+	if err := waitUntil(ctx, isIdle); err != nil {
+		return err
 	}
-	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
-	_ = waitUntil(ctx, func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return len(s.conns) == 0
-	})
+	refusing := time.Now()
+	_ = waitUntil(ctx, func() bool { return s.closeQuiet(refusing) == 0 })
 	return nil
 }
 
-// closeTimeout limits the wait for peers that do not close their connections.
-const closeTimeout = time.Second
+// closeQuiet closes the sending side of the connections without a call for refuseGrace since
+// calls are refused, and returns the number of open connections.
+func (s *Server) closeQuiet(refusing time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, codec := range s.conns {
+		since := max(codec.lastRequest.Load(), refusing.UnixNano())
+		if !codec.closing && time.Now().UnixNano()-since >= int64(refuseGrace) {
+			codec.closing = true
+			CloseWrite(conn)
+		}
+	}
+	return len(s.conns)
+}
+
+const (
+	// closeTimeout limits the wait for peers that do not close their connections.
+	closeTimeout = time.Second
+	// refuseGrace is how long a connection stays open after its last call, so that the next
+	// one is refused with a reply.
+	refuseGrace = 100 * time.Millisecond
+)
 
 // CloseWrite closes the sending side of a connection. Closing the whole connection
 // could reset it and lose data that the peer has not read yet. A connection without
