Tests of kept connections: wait until the requests are in progress

They had been sent after the stop began, since the test waited 50 ms for 40 goroutines, and calls that took more than a second before were refused as they should be. The test now begins the stop when the server has received all of them; the checks are the same.

--- a/gateway/keptconn_test.go
+++ b/gateway/keptconn_test.go
@@ -27,22 +27,28 @@
 	})
 }
 
+// awaitRequests waits until the server has received so many requests.
+func (s *testServer) awaitRequests(count int64) {
+	for s.count.Load() < count {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against a stop that closes a connection whose last answer kept it, while the caller
 // sends its next request.
 func TestStopAnswersTheNextRequestOnAKeptConnection(t *testing.T) {
-	h := newHarness(t, nil, newPausingServer(t))
+	server := newPausingServer(t)
+	h := newHarness(t, nil, server)
 	h.setTimeout(longTimeout)
 	var conns []*keptConn
 	for range quickCalls {
 		conns = append(conns, h.connect("/once/x"))
 	}
-	var group, sent sync.WaitGroup
-	sent.Add(len(conns))
+	var group sync.WaitGroup
 	for i, c := range conns {
 		group.Go(func() {
 			// The first ones end before the listener is closed, the last ones after it.
 			ms := 100 + int(testDrain.Milliseconds()-700)*i/len(conns)
-			time.AfterFunc(50*time.Millisecond, sent.Done)
 			path := []string{"/once/x", "/stream/x"}[i%2]
 			response, err := c.call(fmt.Sprint(path, "?ms=", ms), "")
 			if err != nil || response.StatusCode != http.StatusOK {
@@ -60,7 +66,7 @@
 			}
 		})
 	}
-	sent.Wait()
+	server.awaitRequests(2 * quickCalls)
 	h.stop(shortNotice)
 	group.Wait()
 	if n := h.gateway.metrics.stopUnannounced.Value(); n > 0 {
@@ -71,7 +77,8 @@
 // Guards against a stop that reads a request which was sent behind another one, and closes
 // the connection without an answer to it.
 func TestStopAnswersRequestsThatWereSentAhead(t *testing.T) {
-	h := newHarness(t, nil, newPausingServer(t))
+	server := newPausingServer(t)
+	h := newHarness(t, nil, server)
 	h.setTimeout(longTimeout)
 	var conns []*keptConn
 	for i := range quickCalls {
@@ -81,7 +88,7 @@
 			_, _ = fmt.Fprintf(c, callFormat, fmt.Sprint("/once/x?ms=", ms), longTimeout.Milliseconds(), len("quick"), "quick")
 		}
 	}
-	time.Sleep(50 * time.Millisecond)
+	server.awaitRequests(2 * quickCalls)
 	_, done := h.stop(shortNotice)
 	for i, c := range conns {
 		for request := range 3 {
