Read a whole request behind the last answer of a connection before closing it

What callers saw: the end of the stop reset the connection in the middle of an answer of status 200 that announced the close. They read slowly and had sent a second request with a body of 94 KiB without waiting.

Cause: the linger stopped after 64 KiB, and a close with unread bytes makes the kernel reset the connection and drop what the caller has not received.

Change: the linger reads up to the largest request that the limits allow, at least 64 KiB, within the same 0.5 s.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -181,7 +181,7 @@
 		keepAlive := c.serveRequest(limits)
 		c.setBusy(false)
 		if !keepAlive {
-			c.lingerClose()
+			c.lingerClose(max(minLingerBytes, limits.HeaderBytes+limits.BodyBytes))
 			return
 		}
 	}
--- a/gateway/linger.go
+++ b/gateway/linger.go
@@ -8,22 +8,24 @@
 )
 
 const (
-	lingerTimeout  = 500 * time.Millisecond
-	maxLingerBytes = 64 << 10
+	lingerTimeout = 500 * time.Millisecond
+	// minLingerBytes is what is read behind the last request where the limits are smaller.
+	minLingerBytes = 64 << 10
 )
 
 // lingerClose closes the write side and briefly reads until the caller closes.
 // Closing with unread bytes would reset the connection, and the caller could
-// lose the last response.
-func (c *callerConn) lingerClose() {
+// lose the last response. It reads at most maxBytes, the size of the largest request that the
+// caller may have sent behind the last one.
+func (c *callerConn) lingerClose(maxBytes int64) {
 	tcp, ok := c.conn.(*net.TCPConn)
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	var discarded [512]byte
+	var discarded [readBufferBytes]byte
 	read := c.in.Buffered()
-	for read < maxLingerBytes {
+	for int64(read) < maxBytes {
 		n, err := c.conn.Read(discarded[:])
 		read += n
 		if err != nil {
