Test of the linger: send the request behind once the close is announced

Since an answer does not announce the close while a request waits behind it, so the test sends that request after the head of the last answer.

--- a/gateway/linger_test.go
+++ b/gateway/linger_test.go
@@ -17,8 +17,8 @@
 // small receive buffer.
 const slowAnswerBytes = 100 << 10
 
-// Guards against a reset that takes the last answer from a caller that reads slowly and has
-// sent a request with a body behind it.
+// Guards against a reset that takes the last answer from a caller that reads slowly and sends a
+// request with a body behind it.
 func TestLastAnswerOutlivesARequestBehindIt(t *testing.T) {
 	arrived, release := make(chan struct{}), make(chan struct{})
 	server := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -37,10 +37,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.(*net.TCPConn).SetReadBuffer(8 << 10)
 	_ = conn.SetDeadline(time.Now().Add(longTimeout))
-	go func() {
-		_, _ = fmt.Fprintf(conn, callFormat, "/once/x", longTimeout.Milliseconds(), 0, "")
-		_, _ = fmt.Fprintf(conn, callFormat, "/once/x", longTimeout.Milliseconds(), len(behind), behind)
-	}()
+	_, _ = fmt.Fprintf(conn, callFormat, "/once/x", longTimeout.Milliseconds(), 0, "")
 	<-arrived
 	_, done := h.stop(shortNotice)
 	close(release)
@@ -48,6 +45,9 @@
 	if err != nil || !response.Close {
 		t.Fatalf("the answer in progress at the stop: %v %v, want one that announces the close", response, err)
 	}
+	go func() {
+		_, _ = fmt.Fprintf(conn, callFormat, "/once/x", longTimeout.Milliseconds(), len(behind), behind)
+	}()
 	read := 0
 	for part := make([]byte, 8<<10); err == nil; time.Sleep(2 * time.Millisecond) {
 		var n int
