Log errors of closing listeners and connections in the INI daemon

Two errors were dropped: connections that could not be accepted before a listener was closed, and callers' connections that remain at the end of a drain.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -192,7 +192,7 @@
 		StartTimeout: s.StartTimeout, RequestTimeout: s.RequestTimeout, LedgerRetention: s.LedgerRetention,
 		MaxStreams: s.MaxStreams, RecordEvent: d.recordEvent,
 	})
-	callers := newGracefulServer(d.entry.Handler(), &d.draining)
+	callers := newGracefulServer(d.entry.Handler(), &d.draining, d.logger)
 	listener, err := d.listenCallers(callers, s.Listen)
 	if err != nil {
 		return err
@@ -265,7 +265,9 @@
 		defer cancel()
 		d.callers.stopAccepting(writeCtx)
 		d.callers.awaitQuiet(writeCtx)
-		_ = d.callers.http.Shutdown(writeCtx)
+		if err := d.callers.http.Shutdown(writeCtx); err != nil {
+			d.logger.Warn("callers' connections remain at the end of the drain", zap.Error(err))
+		}
 		return drainErr
 	}
 	if err := d.callers.shutdown(ctx); err != nil {
--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 )
 
 const (
@@ -25,6 +26,7 @@
 type gracefulServer struct {
 	http     *http.Server
 	draining *atomic.Bool
+	logger   *zap.Logger
 	// cancelRequests ends the contexts of all requests.
 	cancelRequests context.CancelFunc
 	// listener is nil before the server listens, and accepted is closed when it has accepted
@@ -52,9 +54,9 @@
 
 type httpConnKey struct{}
 
-func newGracefulServer(handler http.Handler, draining *atomic.Bool) *gracefulServer {
+func newGracefulServer(handler http.Handler, draining *atomic.Bool, logger *zap.Logger) *gracefulServer {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &gracefulServer{draining: draining, cancelRequests: cancel, accepted: make(chan struct{}),
+	s := &gracefulServer{draining: draining, logger: logger, cancelRequests: cancel, accepted: make(chan struct{}),
 		conns: map[net.Conn]*httpConn{}}
 	s.http = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return ctx },
@@ -162,7 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.listener = &gracefulListener{TCPListener: listener.(*net.TCPListener)}
+	s.listener = &gracefulListener{TCPListener: listener.(*net.TCPListener), logger: s.logger}
 	return s.listener, nil
 }
 
--- a/daemon/graceful_test.go
+++ b/daemon/graceful_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // gatedListener accepts nothing until the gate is opened.
@@ -61,7 +63,7 @@
 // nobody has accepted them.
 func TestGracefulStopServesConnectionsThatWereNotAccepted(t *testing.T) {
 	draining := atomic.Bool{}
-	s := newGracefulServer(http.NotFoundHandler(), &draining)
+	s := newGracefulServer(http.NotFoundHandler(), &draining, zap.NewNop())
 	gate := make(chan struct{})
 	conn := startGraceful(t, s, gate)
 	if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n"); err != nil {
--- a/daemon/linger_test.go
+++ b/daemon/linger_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Guards against the reset of a connection by a stop when its caller has sent more than was
@@ -17,7 +19,7 @@
 	draining.Store(true)
 	s := newGracefulServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(make([]byte, answerBytes))
-	}), &draining)
+	}), &draining, zap.NewNop())
 	gate := make(chan struct{})
 	close(gate)
 	conn := startGraceful(t, s, gate)
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/wire"
+	"go.uber.org/zap"
 )
 
 // gracefulListener is a TCP listener that stops without a reset of connections that the kernel
 // has established.
 type gracefulListener struct {
 	*net.TCPListener
+	logger   *zap.Logger
 	stopping atomic.Bool
 	isClosed bool
 	queued   []net.Conn
@@ -42,7 +44,9 @@
 	}
 	if !l.isClosed {
 		l.isClosed = true
-		l.queued, _ = wire.CloseListener(l.TCPListener)
+		if l.queued, err = wire.CloseListener(l.TCPListener); err != nil {
+			l.logger.Warn("could not accept all connections before the listener was closed", zap.Error(err))
+		}
 	}
 	if len(l.queued) == 0 {
 		return nil, net.ErrClosed
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -256,7 +256,7 @@
 		return err
 	}
 	stopping := atomic.Bool{}
-	operators := newGracefulServer(platform.OperatorHandler(control, d.logger), &stopping)
+	operators := newGracefulServer(platform.OperatorHandler(control, d.logger), &stopping, d.logger)
 	operatorListener, err := operators.listen(s.OperatorListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
