--- a/fleet/view.go
+++ b/fleet/view.go
@@ -36,6 +36,9 @@
 	// Standings are the backend servers that are not sound, by the outcomes that all entries
 	// saw.
 	Standings Standings
+	// Evacuations are the evacuated failure domains, with the time since boot at which this
+	// daemon learned of each evacuation.
+	Evacuations map[string]time.Duration
 
 	listStamp, limitsStamp, partsStamp, standingsStamp Stamp
 	// quarantined are the quarantine entries, with remaining times as of quarantinedAt.
@@ -57,6 +60,13 @@
 	return 0, false
 }
 
+// IsEvacuated reports whether operators have evacuated a failure domain, so that its backend
+// servers must not get requests.
+func (v *View) IsEvacuated(failureDomain string) bool {
+	_, evacuated := v.Evacuations[failureDomain]
+	return evacuated
+}
+
 // HasSuspects reports whether there may be any suspected or quarantined request.
 func (v *View) HasSuspects() bool { return len(v.quarantined) > 0 }
 
