Replicate and distribute evacuations of failure domains

Replies to watches carry the set, a change wakes all of them, and the view tells since when a daemon knows of an evacuation.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -67,13 +67,17 @@
 	// RetryWindow beyond a share of their requests.
 	RetrySlack  float64
 	RetryWindow time.Duration
-	Codec       Codec
-	Directory   Directory
-	Pool        *wire.Pool
-	Dial        wire.Dialer
-	Server      *wire.Server
-	Logger      *zap.Logger
-	Metrics     *observe.Metrics
+	// ServesEvacuations is set where operators may evacuate failure domains, and FailureDomains
+	// returns those that they may name. If there are none, they may name any.
+	ServesEvacuations bool
+	FailureDomains    func() []string
+	Codec             Codec
+	Directory         Directory
+	Pool              *wire.Pool
+	Dial              wire.Dialer
+	Server            *wire.Server
+	Logger            *zap.Logger
+	Metrics           *observe.Metrics
 }
 
 // Control is one member of the control group, or on a host without a disk a proxy that
@@ -91,6 +95,8 @@
 	// confirmed is the time since boot at which the last successful confirmation by
 	// a quorum started, 0 before the first.
 	confirmed atomic.Int64
+	// startedAt is the time since boot at which this member was made.
+	startedAt time.Duration
 
 	metrics controlMetrics
 
@@ -105,6 +111,7 @@
 // controlMetrics holds the counters of a member.
 type controlMetrics struct {
 	acknowledged, refused, unanswered, watches, listReads, listFailures, permitRequests, permits *expvar.Int
+	evacuationsAcknowledged, evacuationsRefused, evacuationsUnanswered                           *expvar.Int
 }
 
 // newControlMetrics registers the gauges of a member and returns its counters.
@@ -118,8 +125,12 @@
 	})
 	m.Gauge("control_voter_count", func() float64 { voters, _ := c.countMembers(); return float64(voters) })
 	m.Gauge("control_learner_count", func() float64 { _, learners := c.countMembers(); return float64(learners) })
+	m.Gauge("control_evacuated_domains_count", func() float64 { return float64(c.countEvacuated()) })
 	return controlMetrics{
-		acknowledged: m.Counter("control_states_acknowledged_total"), refused: m.Counter("control_states_refused_total"),
+		evacuationsAcknowledged: m.Counter("control_evacuations_acknowledged_total"),
+		evacuationsRefused:      m.Counter("control_evacuations_refused_total"),
+		evacuationsUnanswered:   m.Counter("control_evacuations_unanswered_total"),
+		acknowledged:            m.Counter("control_states_acknowledged_total"), refused: m.Counter("control_states_refused_total"),
 		unanswered: m.Counter("control_states_unanswered_total"), watches: m.Counter("control_watches_total"),
 		listReads: m.Counter("control_list_reads_total"), listFailures: m.Counter("control_list_failures_total"),
 		permitRequests: m.Counter("control_permit_requests_total"), permits: m.Counter("control_permits_total"),
@@ -145,13 +156,13 @@
 // NewControl returns a Control and registers its service. Run starts it.
 func NewControl(options ControlOptions) (*Control, error) {
 	c := &Control{options: options, servers: newServerList(options.Address + "/" + newNonce()),
-		nonces: map[string]consensus.MemberID{}}
+		nonces: map[string]consensus.MemberID{}, startedAt: SinceBoot()}
 	c.limits = &limitTable{source: c.servers.source, notify: c.servers.notify}
 	c.parts = &partTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.standings = &standingTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.retries = &retryGrants{slack: options.RetrySlack, window: options.RetryWindow}
 	c.metrics = newControlMetrics(options.Metrics, c)
-	c.stateMachine = &stateMachine{onChange: c.servers.notify}
+	c.stateMachine = &stateMachine{onChange: c.servers.notify, logger: options.Logger}
 	member := options.Address
 	if options.DataFolder == "" {
 		member = ""
@@ -254,7 +265,12 @@
 		callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
 		if err := c.node.Load().Barrier(callCtx); err == nil {
+			first := c.confirmed.Load() == 0
 			storeMax(&c.confirmed, start)
+			if first {
+				// Daemons that start wait for it, see mayServeState.
+				c.servers.notify()
+			}
 		}
 	})
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -74,6 +74,8 @@
 	seeds     []string
 	directory *testDirectory
 	members   map[string]*testMember
+	// configure changes the options of members that start later, if it is not nil.
+	configure func(*ControlOptions)
 }
 
 // testMember is one member of a testGroup.
@@ -144,11 +146,14 @@
 		g.t.Fatal(err)
 	}
 	m := &testMember{folder: folder, server: wire.NewServer(l), pool: wire.NewPool(nil), done: make(chan struct{})}
-	m.Control, err = NewControl(ControlOptions{Address: address, DataFolder: folder,
+	options := ControlOptions{Address: address, DataFolder: folder,
 		Seeds: g.seedsOf(), Bootstrap: bootstrap,
 		MinVoters: 3, Codec: testCodec{}, Directory: g.directory, Pool: m.pool,
-		Dial: wire.DialTCP, Server: m.server, Logger: zap.NewNop(), Metrics: observe.NewMetrics()})
-	if err != nil {
+		Dial: wire.DialTCP, Server: m.server, Logger: zap.NewNop(), Metrics: observe.NewMetrics()}
+	if g.configure != nil {
+		g.configure(&options)
+	}
+	if m.Control, err = NewControl(options); err != nil {
 		g.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -5,6 +5,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/consensus"
+	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/roster"
@@ -30,7 +31,9 @@
 	Wait    time.Duration
 	// Lazy watches get no early reply for changed loads, and the loads only without Wait.
 	Lazy bool
-	// LeaderOnly watches get nothing but the members and the leader.
+	// Evacuations is the revision of the set of evacuated failure domains.
+	Evacuations uint64
+	// LeaderOnly watches get nothing but the members, the leader and the evacuations.
 	LeaderOnly bool
 	// Entry is the name of an entry, which gets only the loads of the servers that it places
 	// requests on. Others get all.
@@ -91,6 +94,11 @@
 	HasStandings   bool
 	StandingsStamp Stamp
 	Standings      []ServiceStandings
+	// Evacuations are the failure domains that orders named, with the revision of the set. They are
+	// set together with HasEvacuations if the revision is above that of the request.
+	HasEvacuations     bool
+	EvacuationRevision uint64
+	Evacuations        []failuredomain.Status
 	// Members and Leader are peer addresses of the control group.
 	Members []string
 	Leader  string
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -211,6 +211,7 @@
 		reply.Confirmed, reply.ConfirmedAge = true, SinceBoot()-time.Duration(at)
 	}
 	now := SinceBoot()
+	c.fillEvacuations(request.Evacuations, reply)
 	if !request.LeaderOnly {
 		c.fillReply(request, now, reply)
 	}
@@ -225,10 +226,13 @@
 
 // hasNewer reports whether this member has data that a watch waits for.
 func (c *Control) hasNewer(request *WatchRequest) bool {
+	if c.evacuationRevision() > request.Evacuations {
+		return true
+	}
 	if request.LeaderOnly {
 		return false
 	}
-	if version, document := c.stateMachine.current(); document != nil && version > request.Version {
+	if version, document := c.stateMachine.current(); document != nil && version > request.Version && c.mayServeState(request) {
 		return true
 	}
 	if c.servers.hasNewer(request.List, request.Lazy) {
@@ -243,7 +247,7 @@
 func (c *Control) fillReply(request *WatchRequest, now time.Duration, reply *WatchReply) {
 	version, document := c.stateMachine.current()
 	reply.Version = version
-	if version > request.Version || request.Version == 0 {
+	if (version > request.Version || request.Version == 0) && c.mayServeState(request) {
 		reply.Document = document
 	}
 	c.servers.fillReply(request, now, reply)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -8,6 +8,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
@@ -39,6 +40,9 @@
 	// Evacuations are the evacuated failure domains, with the time since boot at which this
 	// daemon learned of each evacuation.
 	Evacuations map[string]time.Duration
+	// evacuationStates are the failure domains that orders named, as of evacuationRevision.
+	evacuationStates   map[string]failuredomain.Status
+	evacuationRevision uint64
 
 	listStamp, limitsStamp, partsStamp, standingsStamp Stamp
 	// quarantined are the quarantine entries, with remaining times as of quarantinedAt.
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand"
 	"sync"
 	"sync/atomic"
@@ -212,12 +213,16 @@
 		wait = lazyWatchHold
 	}
 	request := &WatchRequest{Version: v.Version, List: v.listStamp, Wait: wait, Lazy: w.options.Lazy, Entry: w.options.Entry,
-		LeaderOnly:  w.options.LeaderOnly,
+		LeaderOnly: w.options.LeaderOnly, Evacuations: v.evacuationRevision,
 		WantsLimits: true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
 		WantsStandings: true, Standings: v.standingsStamp}
 	if v.Table == nil {
 		request.Version = 0
 	}
+	if w.options.MemberAddress != "" {
+		// Members have the evacuations in the replicated log.
+		request.Evacuations = math.MaxUint64
+	}
 	sent := SinceBoot()
 	var reply WatchReply
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
@@ -246,7 +251,8 @@
 	sent := SinceBoot()
 	var reply WatchReply
 	if err := w.options.Pool.Call(ctx, v.Leader, ServiceName+".Watch",
-		&WatchRequest{Version: v.Version, List: v.listStamp, Entry: w.options.Entry, WantsLimits: true, Limits: v.limitsStamp,
+		&WatchRequest{Version: v.Version, List: v.listStamp, Entry: w.options.Entry, Evacuations: v.evacuationRevision,
+			WantsLimits: true, Limits: v.limitsStamp,
 			WantsParts: w.wantsParts(), Parts: v.partsStamp, WantsStandings: true, Standings: v.standingsStamp}, &reply); err != nil {
 		return err
 	}
@@ -297,6 +303,9 @@
 			changed = true
 		}
 	}
+	if next.applyEvacuations(reply, SinceBoot(), w.options.Logger) {
+		changed = true
+	}
 	if reply.HasLimits {
 		next.Limits, next.limitsStamp = make(map[string]serverlimit.Observation, len(reply.Limits)), reply.LimitsStamp
 		for server, age := range reply.Limits {
