Wait for the member in the test of woken watches

The member that takes an order may learn of the commit after the leader's reply. go test ./fleet failed once in TestEvacuationWakesWatches/lazy; after the change, 20 of 20 runs of the test passed.

--- a/fleet/evacuations_test.go
+++ b/fleet/evacuations_test.go
@@ -131,7 +131,9 @@
 		"lazy": {Lazy: true}, "leader only": {LeaderOnly: true}, "full": {WantsLimits: true, WantsParts: true, WantsStandings: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			// The member may not lead, and lag behind what the leader acknowledged.
 			m.order(t, "a", false)
+			m.evacuated(t)
 			request.Version, request.Evacuations = 1, m.evacuationRevision()
 			eventually(t, "the list is known", func() bool {
 				var reply WatchReply
@@ -143,6 +145,7 @@
 				t.Error("an unchanged set is newer")
 			}
 			m.order(t, "a", true)
+			m.evacuated(t)
 			if !m.hasNewer(&request) {
 				t.Error("the watch is not woken")
 			}
