Serve operators' calls that evacuate failure domains

POST /Evacuation.Start/{zone} and /Evacuation.End/{zone}, where the new setting [evacuation] in_force_ms is positive. A failure domain that the settings do not name is refused with 400. Entries have the gauge gateway_evacuated_domains_count.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -106,7 +108,7 @@
 const settingsPollInterval = time.Second
 
 // reloadSettings reloads the settings file when it changes or a SIGHUP arrives. Only
-// the seeds affect a running process.
+// the seeds and the names of failure domains affect a running process.
 func (d *platformDaemon) reloadSettings(ctx context.Context, sighups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -147,6 +149,11 @@
 
 func (d *platformDaemon) seeds() []string { return d.settings.Load().Seeds }
 
+// failureDomains returns the failure domains that the settings name.
+func (d *platformDaemon) failureDomains() []string {
+	return slices.Collect(maps.Keys(d.settings.Load().Regions))
+}
+
 // serveMetrics serves /metrics. It only logs a failure to listen, because a port
 // that is in use must not stop the daemon.
 func (d *platformDaemon) serveMetrics(address string) {
@@ -185,6 +192,7 @@
 		Seeds: d.seeds, Codec: platform.Codec{}, Directory: listClient(s, fallbackListShare, true, d.logger), Pool: d.pool,
 		Logger: d.logger, FailureDomain: s.FailureDomain, Entry: s.Host,
 	})
+	d.metrics.Gauge("gateway_evacuated_domains_count", func() float64 { return float64(len(watcher.View().Evacuations)) })
 	g := gateway.New(gateway.Options{
 		Fleet: watcher, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
 		Locator:  &evacuate.Locator{Pool: d.pool, AgentAddress: s.AgentAddressFor},
@@ -249,6 +257,7 @@
 		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: d.seeds,
 		Bootstrap: s.FirstStart, MinVoters: roster.MinVoters(s.ToleratedLosses, s.ToleratedDomains),
 		RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		ServesEvacuations: s.EvacuationInForce > 0, FailureDomains: d.failureDomains,
 		Codec: platform.Codec{}, Directory: listClient(s, leaderListShare, false, d.logger), Pool: d.pool, Dial: d.dial,
 		Server: server, Logger: d.logger, Metrics: d.metrics,
 	})
@@ -256,7 +265,11 @@
 		return err
 	}
 	stopping := atomic.Bool{}
-	operators := newGracefulServer(platform.OperatorHandler(control, d.logger), &stopping, d.logger)
+	var evacuator platform.Evacuator
+	if s.EvacuationInForce > 0 {
+		evacuator = control
+	}
+	operators := newGracefulServer(platform.OperatorHandler(control, evacuator, d.logger), &stopping, d.logger)
 	operatorListener, err := operators.listen(s.OperatorListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
