Send evacuations only to daemons that ask for them

A watch of a daemon of an earlier version names no revision, so every reply would come at once and the daemon would ask again without a pause. Control members have the set in the replicated log and do not ask.

go test ./fleet -run 'Evacuat|WithoutDisk' -count 3: ok.

--- a/fleet/message.go
+++ b/fleet/message.go
@@ -31,8 +31,10 @@
 	Wait    time.Duration
 	// Lazy watches get no early reply for changed loads, and the loads only without Wait.
 	Lazy bool
-	// Evacuations is the revision of the set of evacuated failure domains.
-	Evacuations uint64
+	// WantsEvacuations is set by daemons that know Evacuations, the revision of the set of evacuated
+	// failure domains.
+	WantsEvacuations bool
+	Evacuations      uint64
 	// LeaderOnly watches get nothing but the members, the leader and the evacuations.
 	LeaderOnly bool
 	// Entry is the name of an entry, which gets only the loads of the servers that it places
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -211,7 +211,9 @@
 		reply.Confirmed, reply.ConfirmedAge = true, SinceBoot()-time.Duration(at)
 	}
 	now := SinceBoot()
-	c.fillEvacuations(request.Evacuations, reply)
+	if request.WantsEvacuations {
+		c.fillEvacuations(request.Evacuations, reply)
+	}
 	if !request.LeaderOnly {
 		c.fillReply(request, now, reply)
 	}
@@ -226,7 +228,7 @@
 
 // hasNewer reports whether this member has data that a watch waits for.
 func (c *Control) hasNewer(request *WatchRequest) bool {
-	if c.evacuationRevision() > request.Evacuations {
+	if request.WantsEvacuations && c.evacuationRevision() > request.Evacuations {
 		return true
 	}
 	if request.LeaderOnly {
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand"
 	"sync"
 	"sync/atomic"
@@ -213,16 +212,12 @@
 		wait = lazyWatchHold
 	}
 	request := &WatchRequest{Version: v.Version, List: v.listStamp, Wait: wait, Lazy: w.options.Lazy, Entry: w.options.Entry,
-		LeaderOnly: w.options.LeaderOnly, Evacuations: v.evacuationRevision,
+		LeaderOnly: w.options.LeaderOnly, WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision,
 		WantsLimits: true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
 		WantsStandings: true, Standings: v.standingsStamp}
 	if v.Table == nil {
 		request.Version = 0
 	}
-	if w.options.MemberAddress != "" {
-		// Members have the evacuations in the replicated log.
-		request.Evacuations = math.MaxUint64
-	}
 	sent := SinceBoot()
 	var reply WatchReply
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
@@ -245,14 +240,18 @@
 // servers. Agents, whose watches are lazy, do not.
 func (w *Watcher) wantsParts() bool { return !w.options.Lazy }
 
+// wantsEvacuations reports whether this daemon learns of evacuations from members. Members have
+// them in the replicated log.
+func (w *Watcher) wantsEvacuations() bool { return w.options.MemberAddress == "" }
+
 // Refresh gets the newest list with the current loads from the leader without a wait.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	v := w.view.Load()
 	sent := SinceBoot()
 	var reply WatchReply
 	if err := w.options.Pool.Call(ctx, v.Leader, ServiceName+".Watch",
-		&WatchRequest{Version: v.Version, List: v.listStamp, Entry: w.options.Entry, Evacuations: v.evacuationRevision,
-			WantsLimits: true, Limits: v.limitsStamp,
+		&WatchRequest{Version: v.Version, List: v.listStamp, Entry: w.options.Entry,
+			WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision, WantsLimits: true, Limits: v.limitsStamp,
 			WantsParts: w.wantsParts(), Parts: v.partsStamp, WantsStandings: true, Standings: v.standingsStamp}, &reply); err != nil {
 		return err
 	}
