Send nothing to servers of evacuated failure domains

The view of the fleet names evacuated failure domains, but entries and agents did not read them.

Placement at an entry now treats their servers as leaving, and reads them again when only the set changes. A request that was placed is checked again before its reservation and right before it is sent; it is then placed again as one that was not sent, without evidence against the server. Failures and crashes of these servers still count, because the servers stay up. A generation continues at a copy there for at most 1 s, and a fifth of the time in which an evacuation has to be in force, after the entry learned of it. If all servers of a service are evacuated, requests are refused at once. An agent moves nothing to an evacuated failure domain, and plans a move again if its destination becomes evacuated before the generation is stopped. Without a destination the generation runs on.

Settings: [evacuations] in_force_ms. Metric: gateway_evacuated_failure_domains_count.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -192,7 +192,7 @@
 		Regions:         failuredomain.NewMap(s.Regions),
 		MaxConfirmedAge: time.Duration(float64(s.MaxRevocationDelay) * confirmedAgeRatio),
 		RetryRatio:      s.RetryRatio * retryRatioFactor, RetryGrants: watcher,
-		RetryWindow: s.RetryWindow, Logger: d.logger, Metrics: d.metrics,
+		RetryWindow: s.RetryWindow, EvacuationBound: s.EvacuationBound, Logger: d.logger, Metrics: d.metrics,
 	})
 	listener, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -108,13 +108,15 @@
 	// refreshedAt is when the loads of other servers were last refreshed.
 	refreshedAt time.Time
 	moveSlots   chan struct{}
+	evacuations *fleet.EvacuationLog
 	metrics     metrics
 }
 
 // New returns an Agent and registers its RPC service with server.
 func New(options Options, server *wire.Server) (*Agent, error) {
 	a := &Agent{options: options, moves: map[string]*moveState{}, lastSeen: map[string]bool{}, unplaced: map[string]bool{},
-		refusedAt: map[string]time.Time{}, moveSlots: make(chan struct{}, concurrentMoves)}
+		refusedAt: map[string]time.Time{}, moveSlots: make(chan struct{}, concurrentMoves),
+		evacuations: fleet.NewEvacuationLog(options.Logger)}
 	a.metrics = newMetrics(options.Metrics)
 	return a, errors.Wrap(server.Register(ServiceName, &service{a}), "register the evacuation service")
 }
@@ -125,6 +127,7 @@
 	defer ticker.Stop()
 	down := false
 	for {
+		a.evacuations.Update(a.options.Fleet.View())
 		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
 		status, err := a.options.Engine.Status(callCtx)
 		cancel()
@@ -269,7 +272,7 @@
 	v := a.options.Fleet.View()
 	for _, server := range v.Servers {
 		if server.Service != a.options.Service || server.Leaving || server.Address == a.options.Address ||
-			time.Since(a.refusedAt[server.Address]) < refusalBackoff ||
+			v.IsEvacuated(server.FailureDomain) || time.Since(a.refusedAt[server.Address]) < refusalBackoff ||
 			v.Standings[server.Service][server.ID].State == serverhealth.Failing {
 			continue
 		}
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,7 +23,9 @@
 
 // testEngine is a backend server whose first copy of each generation takes long.
 type testEngine struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// onMove is called at each move before it takes effect. It may be nil.
+	onMove func(target string, stop bool)
 	status Status
 	refuse map[string]bool
 	copied map[string]int
@@ -45,6 +49,9 @@
 	e.calls = append(e.calls, call+generationID+" to "+target)
 	refused := e.refuse[target]
 	e.mu.Unlock()
+	if e.onMove != nil {
+		e.onMove(target, stop)
+	}
 	if refused {
 		return Copy{}, errors.New("no room")
 	}
@@ -54,11 +61,30 @@
 	return Copy{Name: "here/" + generationID, Events: 9}, nil
 }
 
-type testFleet struct{ view fleet.View }
+type testFleet struct {
+	view fleet.View
+	// evacuated holds the view after the evacuation of failure domains, if set.
+	evacuated atomic.Pointer[fleet.View]
+}
 
-func (f *testFleet) View() *fleet.View             { return &f.view }
+func (f *testFleet) View() *fleet.View {
+	if v := f.evacuated.Load(); v != nil {
+		return v
+	}
+	return &f.view
+}
 func (f *testFleet) Refresh(context.Context) error { return nil }
 
+// evacuate makes these the evacuated failure domains.
+func (f *testFleet) evacuate(domains ...string) {
+	v := f.view
+	v.Evacuations = map[string]time.Duration{}
+	for _, d := range domains {
+		v.Evacuations[d] = fleet.SinceBoot()
+	}
+	f.evacuated.Store(&v)
+}
+
 func newAgent(t *testing.T, engine *testEngine) (*Agent, *Locator) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -77,7 +103,7 @@
 		view.Reports[s.Address] = backend.Report{Address: s.Address, Load: backend.Load{TotalTokens: 30000}}
 	}
 	pool := wire.NewPool(nil)
-	agent, err := New(Options{Address: "self", Service: "s", FailureDomain: "a", Engine: engine, Fleet: &testFleet{view},
+	agent, err := New(Options{Address: "self", Service: "s", FailureDomain: "a", Engine: engine, Fleet: &testFleet{view: view},
 		Pool: pool, Logger: zap.NewNop(), Metrics: observe.NewMetrics()}, server)
 	if err != nil {
 		t.Fatal(err)
@@ -200,3 +226,67 @@
 		t.Errorf("%d refusals are remembered, want the one that still counts", len(a.refusedAt))
 	}
 }
+
+// Guards against an evacuated failure domain as a destination, also if no other has room.
+func TestEvacuatedDomainsAreNoDestinations(t *testing.T) {
+	a, _ := newAgent(t, &testEngine{copied: map[string]int{}})
+	for _, c := range []struct {
+		domains, want []string
+	}{{nil, []string{"near", "far"}}, {[]string{"a"}, []string{"far"}}, {[]string{"b"}, []string{"near"}}, {[]string{"a", "b"}, nil}} {
+		a.options.Fleet.(*testFleet).evacuate(c.domains...)
+		var got []string
+		a.mu.Lock()
+		for _, d := range a.destinations() {
+			got = append(got, d.Address)
+		}
+		a.mu.Unlock()
+		if !slices.Equal(got, c.want) {
+			t.Errorf("evacuated %v: destinations %v, want %v", c.domains, got, c.want)
+		}
+	}
+}
+
+// Guards against a generation that is stopped for a last copy to a destination whose failure
+// domain was evacuated during the move. It continues at another server, or runs on if there is
+// none.
+func TestMoveToEvacuatedDestinationIsPlannedAgain(t *testing.T) {
+	for _, c := range []struct {
+		evacuated []string
+		// during is the copy during which the failure domains are evacuated. The second is short, so
+		// the generation would be stopped after it.
+		during int
+		want   string
+	}{{[]string{"a"}, 1, "stop r1 to far"}, {[]string{"a", "b"}, 1, ""}, {[]string{"a"}, 2, "stop r1 to far"},
+		{[]string{"a", "b"}, 2, ""}} {
+		engine := &testEngine{copied: map[string]int{}}
+		a, _ := newAgent(t, engine)
+		evacuated := make(chan struct{})
+		copies := 0
+		engine.mu.Lock()
+		engine.onMove = func(string, bool) {
+			if copies++; copies == c.during {
+				a.options.Fleet.(*testFleet).evacuate(c.evacuated...)
+				close(evacuated)
+			}
+		}
+		engine.status = leavingStatus()
+		engine.mu.Unlock()
+		<-evacuated
+		stops := func() (stops []string) {
+			engine.mu.Lock()
+			defer engine.mu.Unlock()
+			for _, call := range engine.calls {
+				if strings.HasPrefix(call, "stop") {
+					stops = append(stops, call)
+				}
+			}
+			return stops
+		}
+		for end := time.Now().Add(10 * time.Second); a.metrics.moved.Value()+a.metrics.movesFailed.Value() == 0 && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got := strings.Join(stops(), ", "); got != c.want {
+			t.Errorf("evacuated %v during copy %d: %q, want %q", c.evacuated, c.during, got, c.want)
+		}
+	}
+}
--- a/evacuate/move.go
+++ b/evacuate/move.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/evacuation"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -57,10 +59,13 @@
 }
 
 // preCopy copies a running generation repeatedly, until a copy takes at most
-// maxFinalCopy or the server exits soon. If the destination refuses, it tries another
-// one. It returns the time at which the last copy ended.
+// maxFinalCopy or the server exits soon. If the destination refuses, or its failure domain
+// was evacuated, it tries another one. It returns the time at which the last copy ended.
 func (a *Agent) preCopy(ctx context.Context, m *evacuation.Move, end time.Time) (time.Time, error) {
 	for refusals := 0; ; {
+		if a.isEvacuated(m.Destination) && !a.replan(m, time.Until(end)) {
+			return time.Now(), errDestinationEvacuated
+		}
 		start := time.Now()
 		_, err := a.options.Engine.Move(ctx, m.Generation.ID, m.Destination, false)
 		now := time.Now()
@@ -70,14 +75,29 @@
 				continue
 			}
 		}
+		if err == nil && a.isEvacuated(m.Destination) {
+			continue
+		}
 		if err != nil || now.Sub(start) <= maxFinalCopy || end.Sub(now) <= forceStopMargin {
 			return now, err
 		}
 	}
 }
 
-// replan chooses another destination for a move that was refused. It returns false if
-// there is none.
+// errDestinationEvacuated is the error of a move that ends before the generation is stopped,
+// because there is no destination outside evacuated failure domains.
+var errDestinationEvacuated = errors.New("the failure domain of the destination is evacuated, and no other server has room")
+
+// isEvacuated reports whether the server at an address is in an evacuated failure domain.
+func (a *Agent) isEvacuated(address string) bool {
+	v := a.options.Fleet.View()
+	return len(v.Evacuations) > 0 && slices.ContainsFunc(v.Servers, func(s backend.Server) bool {
+		return s.Address == address && v.IsEvacuated(s.FailureDomain)
+	})
+}
+
+// replan chooses another destination for a move whose destination refused it or was
+// evacuated. It returns false if there is none.
 func (a *Agent) replan(m *evacuation.Move, remaining time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,6 +147,9 @@
 	// RetryGrants hands out the slack that all entries share. It may be nil.
 	RetryGrants RetryGranter
 	RetryWindow time.Duration
+	// EvacuationBound is the time in which the evacuation of a failure domain has to be in
+	// force after it was acknowledged, 0 if unknown.
+	EvacuationBound time.Duration
 	// BufferBytes bounds the memory of the parts of responses that are held in memory, 0
 	// for the default.
 	BufferBytes int64
@@ -191,9 +194,14 @@
 	g.limits = newLimiter(&options)
 	g.parts = newPartGuard(&options)
 	g.outcomes = newOutcomeBoard(&options)
+	evacuations := fleet.NewEvacuationLog(options.Logger)
+	options.Metrics.Gauge("gateway_evacuated_failure_domains_count", func() float64 {
+		return float64(len(options.Fleet.View().Evacuations))
+	})
 	options.Fleet.OnChange(func(v *fleet.View) {
 		g.notices.update(v)
 		g.services.update(g.elapsed(), v)
+		evacuations.Update(v)
 		g.limits.update(v)
 		g.parts.update(v)
 	})
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -41,6 +42,7 @@
 	x.sentAt = time.Now()
 	x.late = x.watchLate(server)
 	u, result, err := x.g.send(ctx, server, x.r, f)
+	x.evacuated = errors.Is(err, errEvacuated)
 	cause := crossingCall
 	if x.route.Kind == desired.Stream {
 		cause = crossingGeneration
@@ -137,7 +139,7 @@
 // meanwhile that is used up, or rests.
 func (x *exchange) placeUnreserved(ctx context.Context, first backend.Server, query placement.Query) (
 	backend.Server, string, bool) {
-	if x.g.notices.admit(first.ID) {
+	if x.g.checkEvacuated(first, false) == nil && x.g.notices.admit(first.ID) {
 		if permitted, _ := x.g.limits.permit(ctx, first, false); permitted {
 			return first, "", true
 		}
@@ -175,6 +177,11 @@
 			continue
 		}
 		permitted, limited := x.g.limits.permit(ctx, server, false)
+		if x.g.checkEvacuated(server, false) != nil {
+			x.reportResult(server.ID, placement.NotSent)
+			query.Exclude = append(query.Exclude, server.ID)
+			continue
+		}
 		if permitted {
 			return server, limited, true
 		}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -23,11 +23,11 @@
 	return false
 }
 
-// refuse responds that the request did not run and when to retry.
-func (x *exchange) refuse(text string, reason verdict.Reason) {
+// refuse responds that the request did not run and when to retry, and logs it with more fields.
+func (x *exchange) refuse(text string, reason verdict.Reason, fields ...zap.Field) {
 	x.g.metrics.refused.Add(1)
 	retryAfter := dispatch.RetryAfter(reason == verdict.ReasonNotReady, x.metadata.Timeout, x.g.random())
-	x.fail(http.StatusServiceUnavailable, verdict.NotRun, text, reason, retryAfter)
+	x.fail(http.StatusServiceUnavailable, verdict.NotRun, text, reason, retryAfter, fields...)
 }
 
 // refuseUnplaced refuses a request that no server took.
@@ -36,7 +36,7 @@
 		x.refuseStopping()
 		return
 	}
-	if x.refuseHeldPart() {
+	if x.refuseHeldPart() || x.refuseEvacuated() {
 		return
 	}
 	if result == dispatch.NoServer && len(x.restingServers) > 0 && x.refuseForRest() {
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand"
 	"sync"
 	"time"
@@ -47,9 +48,10 @@
 	mu      sync.Mutex
 	byName  map[string]*service
 	servers map[string]backend.Server
-	// table and listed are those of the view from which servers was made.
-	table  *desired.Table
-	listed []backend.Server
+	// table, listed and evacuations are those of the view from which servers was made.
+	table       *desired.Table
+	listed      []backend.Server
+	evacuations map[string]time.Duration
 	// byAddress are the servers by address, and loadsAppliedAt is when their loads were
 	// last passed to placement.
 	byAddress      map[string]backend.Server
@@ -95,8 +97,8 @@
 func (s *serviceSet) update(now time.Duration, v *fleet.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.table != v.Table || !sameSlice(s.listed, v.Servers) {
-		s.table, s.listed = v.Table, v.Servers
+	if s.table != v.Table || !sameSlice(s.listed, v.Servers) || !maps.Equal(s.evacuations, v.Evacuations) {
+		s.table, s.listed, s.evacuations = v.Table, v.Servers, v.Evacuations
 		s.updateServers(now, v)
 	}
 	for name, svc := range s.byName {
@@ -144,7 +146,9 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// updateServers replaces the servers of all services. The caller holds s.mu.
+// updateServers replaces the servers of all services. To placement, servers of evacuated
+// failure domains are leaving; s.servers keeps them as they are, because they stay up, and
+// their failures count as evidence. The caller holds s.mu.
 func (s *serviceSet) updateServers(now time.Duration, v *fleet.View) {
 	s.servers, s.byAddress = make(map[string]backend.Server, len(v.Servers)), make(map[string]backend.Server, len(v.Servers))
 	lists := map[string][]placement.Server{}
@@ -155,7 +159,8 @@
 		s.servers[server.ID], s.byAddress[server.Address] = server, server
 		lists[server.Service] = append(lists[server.Service], placement.Server{
 			Name: server.ID, Distance: s.options.Regions.Distance(s.options.FailureDomain, server.FailureDomain),
-			Blocks: declaredBlocks(v.Table, server), Leaving: server.Leaving || s.notices.saysLeaving(server.ID),
+			Blocks:  declaredBlocks(v.Table, server),
+			Leaving: server.Leaving || s.notices.saysLeaving(server.ID) || v.IsEvacuated(server.FailureDomain),
 		})
 	}
 	for name, list := range lists {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -227,6 +227,9 @@
 	if !ok {
 		return nil, errors.Errorf("no server is known at %s", address)
 	}
+	if err := x.g.checkEvacuated(server, true); err != nil {
+		return nil, err
+	}
 	if !x.g.notices.awaitRest(ctx, server.ID) {
 		return nil, errors.New("the server with the copy asked for rest")
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -114,7 +114,12 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetWriteDeadline(deadline)
 	}
-	if _, err := conn.Write(g.encode(r, f)); err != nil {
+	request := g.encode(r, f)
+	if err := g.checkEvacuated(server, f.Copy != ""); err != nil {
+		u.close()
+		return nil, dispatch.NotSent, err
+	}
+	if _, err := conn.Write(request); err != nil {
 		// A server may respond and close before it has read a long body.
 		if result, readErr := g.readResponse(u, r); readErr == nil {
 			return u, result, nil
