Keep a copy of the evacuated failure domains in daemons

Entries and agents of INI deployments have to learn of evacuations with what they receive already. Sets have revisions, so a delayed reply changes nothing.

go test ./core/peerstate: ok, with delayed, lost and unconfirmed replies in TestEvacuations.

--- a/core/message/control.go
+++ b/core/message/control.go
@@ -25,6 +25,9 @@
 	ConfigApplied  Revision
 	MembershipSeen uint64
 	QuarantineSeen uint64
+	// EvacuationsSeen is the revision of the sender's copy of the evacuated failure
+	// domains.
+	EvacuationsSeen uint64
 	// Leaving is set while the daemon shuts down.
 	Leaving        bool
 	BackendServers []BackendServerStatus
@@ -73,6 +76,9 @@
 	Quarantine         []Quarantine
 	QuarantineSequence uint64
 	QuarantineReset    bool
+	// Evacuations is the whole set if its revision is above EvacuationsSeen, otherwise
+	// nil.
+	Evacuations *EvacuationSet
 }
 
 // Quarantine is a request digest that is suspect or quarantined. For is the
@@ -98,6 +104,9 @@
 	Current  bool
 	Deltas   []ConfigDelta
 	Snapshot []byte
+	// Evacuations is the set of evacuated failure domains at a control member. It comes
+	// with the configuration, so that a daemon that starts learns both before it serves.
+	Evacuations *EvacuationSet
 }
 
 // ConfigDelta is one accepted configuration change: the sections that it sets
--- a/core/peerstate/fetch.go
+++ b/core/peerstate/fetch.go
@@ -40,6 +40,7 @@
 	// Revisions in the registry are committed, so even the reply of a partitioned
 	// member proves that its revision exists.
 	s.highestSeen = max(s.highestSeen, reply.Revision)
+	s.mergeEvacuations(reply.Evacuations)
 	switch {
 	case a.Kind == FetchFromControl && !reply.Current:
 		return ErrNotCurrent
--- a/core/peerstate/peerstate.go
+++ b/core/peerstate/peerstate.go
@@ -1,6 +1,7 @@
 // Package peerstate decides how a daemon keeps its copies of the configuration,
-// the membership and the quarantine list up to date. It does no I/O: Tick returns
-// the calls to make, and FinishHeartbeat and FinishFetch take their outcomes.
+// the membership, the quarantine list and the evacuated failure domains up to date.
+// It does no I/O: Tick returns the calls to make, and FinishHeartbeat and FinishFetch
+// take their outcomes.
 //
 // Two rules prevent a rollback of the configuration. A configuration is put in
 // force only if it is newer than the current one and not older than any revision
@@ -46,9 +47,10 @@
 	Kind    ActionKind
 	Address string
 	// From is the revision after which a fetch requests changes.
-	From           message.Revision
-	MembershipSeen uint64
-	QuarantineSeen uint64
+	From            message.Revision
+	MembershipSeen  uint64
+	QuarantineSeen  uint64
+	EvacuationsSeen uint64
 }
 
 // Outcome is the result of a call. The zero value means that a reply arrived.
@@ -82,8 +84,9 @@
 	sources      map[string]source
 	fetchError   error
 
-	members    membership
-	quarantine quarantineList
+	members     membership
+	quarantine  quarantineList
+	evacuations message.EvacuationSet
 }
 
 // source is a peer that showed a newer revision.
@@ -134,7 +137,8 @@
 	if address := s.heartbeatTargets.Pick(); !s.heartbeatInFlight && now >= s.nextHeartbeat && address != "" {
 		s.heartbeatInFlight = true
 		out = append(out, Action{
-			Kind: SendHeartbeat, Address: address, MembershipSeen: s.members.sequence, QuarantineSeen: s.quarantine.sequence,
+			Kind: SendHeartbeat, Address: address, MembershipSeen: s.members.sequence,
+			QuarantineSeen: s.quarantine.sequence, EvacuationsSeen: s.evacuations.Revision,
 		})
 	}
 	if s.fetchInFlight || now < s.nextFetch || s.confirmed && s.Revision() >= s.highestSeen {
@@ -236,6 +240,7 @@
 	default:
 		s.members.merge(reply)
 		s.quarantine.merge(now, reply)
+		s.mergeEvacuations(reply.Evacuations)
 		s.ObserveHeader(now, message.Header{Revision: max(reply.Revision, reply.Header.Revision)})
 		if reply.Current {
 			s.heartbeatTargets.Succeeded(address)
@@ -277,3 +282,15 @@
 func (s *Syncer) Quarantine(now time.Duration) []message.Quarantine {
 	return s.quarantine.list(now)
 }
+
+// mergeEvacuations replaces the set of evacuated failure domains by a newer one. Each
+// revision is committed, so a newer set of a member without a quorum counts as well.
+func (s *Syncer) mergeEvacuations(set *message.EvacuationSet) {
+	if set != nil && set.Revision > s.evacuations.Revision {
+		s.evacuations = *set
+	}
+}
+
+// Evacuations returns the newest known set of evacuated failure domains. The caller
+// must not modify it.
+func (s *Syncer) Evacuations() message.EvacuationSet { return s.evacuations }
--- a/core/peerstate/peerstate_test.go
+++ b/core/peerstate/peerstate_test.go
@@ -239,6 +239,59 @@
 	}
 }
 
+// TestEvacuations guards against an evacuation that a delayed reply ends or starts
+// again, and against a daemon that is ready before it knows the evacuations.
+func TestEvacuations(t *testing.T) {
+	set := func(revision uint64, domains ...string) *message.EvacuationSet {
+		return &message.EvacuationSet{Revision: revision, Domains: domains}
+	}
+	beat := func(current bool, e *message.EvacuationSet) func(*Syncer) {
+		return func(s *Syncer) {
+			s.FinishHeartbeat(0, "x", &message.HeartbeatReply{Current: current, Evacuations: e}, Outcome{})
+		}
+	}
+	fetched := func(current bool, e *message.EvacuationSet) func(*Syncer) {
+		return func(s *Syncer) {
+			reply := configReply(0, 1, current, true)
+			reply.Evacuations = e
+			s.FinishFetch(0, Action{Kind: FetchFromControl, Address: "x"}, reply, Outcome{})
+		}
+	}
+	lost := func(s *Syncer) {
+		s.FinishHeartbeat(0, "x", &message.HeartbeatReply{Evacuations: set(9, "lost")}, Outcome{Failed: true})
+	}
+	tests := map[string]struct {
+		events []func(*Syncer)
+		want   string // revision, domains, ready
+	}{
+		"nothing known":                    {nil, "0 [] false"},
+		"with the first configuration":     {[]func(*Syncer){fetched(true, set(3, "a"))}, "3 [a] true"},
+		"start and end":                    {[]func(*Syncer){beat(true, set(1, "a")), beat(true, set(2))}, "2 [] false"},
+		"delayed start":                    {[]func(*Syncer){beat(true, set(2)), beat(true, set(1, "a"))}, "2 [] false"},
+		"delayed configuration":            {[]func(*Syncer){beat(true, set(2)), fetched(true, set(1, "a"))}, "2 [] true"},
+		"unchanged":                        {[]func(*Syncer){beat(true, set(1, "a")), beat(true, nil)}, "1 [a] false"},
+		"older programs send none":         {[]func(*Syncer){fetched(true, nil), beat(true, nil)}, "0 [] true"},
+		"member without a quorum, newer":   {[]func(*Syncer){beat(false, set(1, "a")), beat(false, set(2, "b"))}, "2 [b] false"},
+		"member without a quorum, older":   {[]func(*Syncer){beat(true, set(2, "a")), beat(false, set(1))}, "2 [a] false"},
+		"fetch at a member that lags":      {[]func(*Syncer){fetched(false, set(1, "a"))}, "1 [a] false"},
+		"failed call carries nothing":      {[]func(*Syncer){beat(true, set(1, "a")), lost}, "1 [a] false"},
+		"two domains, one of them returns": {[]func(*Syncer){beat(true, set(2, "a", "b")), beat(true, set(3, "b"))}, "3 [b] false"},
+	}
+	for name, test := range tests {
+		s := New([]string{"x"}, rand.New(rand.NewSource(1)))
+		for _, event := range test.events {
+			event(s)
+		}
+		e := s.Evacuations()
+		if got := fmt.Sprint(e.Revision, e.Domains, s.Ready()); got != test.want {
+			t.Errorf("%s: got %s, want %s", name, got, test.want)
+		}
+		if a := s.Tick(time.Hour)[0]; a.Kind != SendHeartbeat || a.EvacuationsSeen != e.Revision {
+			t.Errorf("%s: the next heartbeat names revision %d, want %d", name, a.EvacuationsSeen, e.Revision)
+		}
+	}
+}
+
 // TestRandomFleet guards against daemons whose revision decreases, or that do not
 // converge on the newest revision after the faults end. Control member 0 is
 // partitioned from the others.
