--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -177,6 +177,7 @@
 	go d.agent.ServeLinks(listener)
 	d.state.OnConfig(ctx, func(*contract.Config) { d.agent.Reconcile() })
 	d.state.OnMembers(ctx, func([]message.Member) { d.agent.Reconcile() })
+	d.state.OnEvacuations(ctx, func(message.EvacuationSet) { d.agent.Reconcile() })
 	go orders.Run(ctx)
 	return d.rpc.Register("Agent", d.agent.Service())
 }
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -63,7 +63,7 @@
 	request := &message.HeartbeatRequest{
 		Header: s.Header(), FailureDomain: d.FailureDomain, AgentAddress: s.options.AgentAddress,
 		LinkAddress: s.options.LinkAddress, ConfigApplied: s.Revision(), MembershipSeen: a.MembershipSeen,
-		QuarantineSeen: a.QuarantineSeen, Leaving: s.leaving.Load(),
+		QuarantineSeen: a.QuarantineSeen, EvacuationsSeen: a.EvacuationsSeen, Leaving: s.leaving.Load(),
 	}
 	for _, role := range d.Roles {
 		request.Roles = append(request.Roles, string(role))
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -27,6 +27,7 @@
 		m = observe.NewMetrics()
 	}
 	m.Gauge("peer_members_count", func() float64 { return float64(len(s.Members())) })
+	m.Gauge("peer_evacuated_failure_domains_count", func() float64 { return float64(len(s.Evacuations().Domains)) })
 	m.Gauge("peer_highest_seen_revision", func() float64 { return float64(s.highestSeen.Load()) })
 	m.Gauge("peer_confirmed_age_seconds", func() float64 {
 		return (s.now() - time.Duration(s.confirmedAt.Load())).Seconds()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,7 +1,7 @@
 // Package peer connects a daemon to the control group. It sends heartbeats and
-// keeps copies of the configuration, the membership and the quarantine list.
-// core/peerstate decides which calls to make; this package makes them and
-// publishes the results to the rest of the daemon.
+// keeps copies of the configuration, the membership, the quarantine list and the
+// evacuated failure domains. core/peerstate decides which calls to make; this package
+// makes them and publishes the results to the rest of the daemon.
 package peer
 
 import (
@@ -44,8 +44,8 @@
 	Metrics *observe.Metrics
 }
 
-// State is a daemon's copy of the configuration, the membership and the
-// quarantine list. Its methods are safe for concurrent use.
+// State is a daemon's copy of the configuration, the membership, the quarantine list
+// and the evacuated failure domains. Its methods are safe for concurrent use.
 type State struct {
 	options Options
 	start   time.Time
@@ -59,6 +59,9 @@
 	config     atomic.Pointer[contract.Config]
 	members    atomic.Pointer[[]message.Member]
 	quarantine atomic.Pointer[map[string]quarantineEntry]
+	// evacuations is replaced before config and members, so that a reader of these
+	// finds the evacuations that were sent with them.
+	evacuations atomic.Pointer[message.EvacuationSet]
 	// highestSeen is the highest revision seen in any message.
 	highestSeen atomic.Uint64
 	// confirmedAt is the time since start, in nanoseconds, at which a leader with a
@@ -72,6 +75,7 @@
 	quarantineSequence uint64
 	onConfig           []func(*contract.Config)
 	onMembers          []func([]message.Member)
+	onEvacuations      []func(message.EvacuationSet)
 	lastFetchError     string
 
 	readyOnce sync.Once
@@ -106,6 +110,7 @@
 	s.control.selector = peerstate.NewMemberSelector(d.ControlAddresses, rng.Intn(len(d.ControlAddresses)))
 	s.members.Store(&[]message.Member{})
 	s.quarantine.Store(&map[string]quarantineEntry{})
+	s.evacuations.Store(&message.EvacuationSet{})
 	s.service.publish(s.syncer)
 	go s.run(ctx)
 	return s, nil
@@ -243,6 +248,7 @@
 func (s *State) publish() {
 	m := s.syncer
 	s.highestSeen.Store(uint64(m.HighestSeen()))
+	s.publishEvacuations(m.Evacuations())
 	if m.Revision() > s.Revision() {
 		s.service.publish(m)
 		s.config.Store(m.Config())
