Place no requests on servers of evacuated failure domains

The placer leaves these servers out, so that they take no place in the entry's bounded subset either. A server counts if the declared failure domain of its host or the one that the host reports is evacuated. If that holds for all servers of a service, the request is refused at once as not run, with a time to retry and the text "all failure domains of the service are evacuated".

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,12 @@
 	Quarantined(digest string) (remaining time.Duration, suspect, quarantined bool)
 }
 
+// EvacuationList provides the evacuated failure domains. A Fleet may implement it; if
+// it does not, no failure domain is evacuated.
+type EvacuationList interface {
+	Evacuations() message.EvacuationSet
+}
+
 // Ledger records non-repeatable calls on a quorum of the control group.
 type Ledger interface {
 	BeginCall(ctx context.Context, request message.BeginCallRequest) (message.BeginCallReply, error)
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -18,6 +18,8 @@
 type target struct {
 	server contract.BackendServer
 	member message.Member
+	// evacuated is set if the failure domain of the server's host is evacuated.
+	evacuated bool
 	// query is the query that the server was chosen for.
 	query placement.Query
 }
@@ -32,6 +34,7 @@
 	mu                 sync.Mutex
 	config             *contract.Config
 	membersFingerprint uint64
+	evacuationRevision uint64
 	balancers          map[string]*placement.Balancer
 	targets            map[string]target
 }
@@ -62,32 +65,29 @@
 	return h.Sum64()
 }
 
-// refresh applies a changed configuration or membership to the balancers.
-// p.mu must be held.
+// refresh applies a changed configuration, membership or set of evacuated failure
+// domains to the balancers. p.mu must be held.
 func (p *placer) refresh() {
 	config, members := p.fleet.Config(), p.fleet.Members()
+	// Read after the members, so that the set is never older than they are.
+	evacuations := evacuationsOf(p.fleet)
 	membersFingerprint := fingerprint(members)
-	if config == p.config && membersFingerprint == p.membersFingerprint {
+	if config == p.config && membersFingerprint == p.membersFingerprint &&
+		evacuations.Revision == p.evacuationRevision {
 		return
 	}
-	p.config, p.membersFingerprint = config, membersFingerprint
-	regions := map[string]string{}
-	for name, d := range config.FailureDomains {
-		regions[name] = d.Region
-	}
-	domains := failuredomain.NewMap(regions)
-	hosts := map[string]message.Member{}
-	for _, m := range members {
-		hosts[m.Host] = m
-	}
-	p.targets = map[string]target{}
+	p.config, p.membersFingerprint, p.evacuationRevision = config, membersFingerprint, evacuations.Revision
+	p.targets = findTargets(config, members, evacuations)
+	domains := domainMap(config)
 	serversByService := map[string][]placement.Server{}
-	for name, s := range config.BackendServers {
-		m, known := hosts[s.Host]
-		if !known || m.State == message.MemberDead {
+	for name, t := range p.targets {
+		// Servers of an evacuated failure domain are left out instead of being marked as
+		// leaving, because they would take places of the entry's subset, which has a
+		// bounded size.
+		if t.evacuated {
 			continue
 		}
-		p.targets[name] = target{server: s, member: m}
+		s, m := t.server, t.member
 		blocks := s.MemoryBlocks
 		if config.Services[s.Service].Kind == contract.KindPlain {
 			blocks = s.MaxBatch
@@ -107,6 +107,50 @@
 	}
 }
 
+func domainMap(config *contract.Config) failuredomain.Map {
+	regions := map[string]string{}
+	for name, d := range config.FailureDomains {
+		regions[name] = d.Region
+	}
+	return failuredomain.NewMap(regions)
+}
+
+// findTargets returns the declared backend servers on hosts that are not dead.
+func findTargets(
+	config *contract.Config, members []message.Member, evacuations message.EvacuationSet,
+) map[string]target {
+	hosts := map[string]message.Member{}
+	for _, m := range members {
+		hosts[m.Host] = m
+	}
+	targets := map[string]target{}
+	for name, s := range config.BackendServers {
+		m, known := hosts[s.Host]
+		if !known || m.State == message.MemberDead {
+			continue
+		}
+		targets[name] = target{server: s, member: m, evacuated: isEvacuated(config, s, m, evacuations)}
+	}
+	return targets
+}
+
+// isEvacuated reports whether the failure domain of a backend server is evacuated. The
+// domain is the one that the configuration declares for the host, and the one that the
+// host itself reports: an operator may name either.
+func isEvacuated(
+	config *contract.Config, s contract.BackendServer, m message.Member, evacuations message.EvacuationSet,
+) bool {
+	return evacuations.ContainsAny(config.Hosts[s.Host].FailureDomain, m.FailureDomain)
+}
+
+// evacuationsOf returns the evacuated failure domains that a Fleet knows.
+func evacuationsOf(fleet Fleet) message.EvacuationSet {
+	if list, ok := fleet.(EvacuationList); ok {
+		return list.Evacuations()
+	}
+	return message.EvacuationSet{}
+}
+
 // isLeaving reports whether the membership marks a backend server or its host as
 // leaving.
 func isLeaving(m message.Member, server string) bool {
@@ -148,14 +192,19 @@
 	return t, true
 }
 
-// noTargetError returns the reason why choose found no backend server: either none
-// serves the service, or none currently accepts requests.
+// noTargetError returns the reason why choose found no backend server: none serves the
+// service, all failure domains of the service are evacuated, or no server currently
+// accepts requests.
 func (p *placer) noTargetError(service string) *verdict.Error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.allEvacuated(service) {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoBackendServer,
+			"all failure domains of the service are evacuated").WithRetryAfter(retryAfterNoBackend)
+	}
 	for _, t := range p.targets {
 		if t.server.Service == service && t.server.State == contract.BackendServing &&
-			!isLeaving(t.member, t.server.Name) {
+			!isLeaving(t.member, t.server.Name) && !t.evacuated {
 			return verdict.New(verdict.NotRun, verdict.ReasonOverloaded,
 				"no backend server takes the request for the moment").WithRetryAfter(retryAfterOverloaded)
 		}
@@ -164,6 +213,26 @@
 		"no backend server serves %q", service).WithRetryAfter(retryAfterNoBackend)
 }
 
+// allEvacuated reports whether a service has backend servers and all of them are in
+// evacuated failure domains. Servers on dead hosts count, because their failure domain
+// may return. p.mu must be held.
+func (p *placer) allEvacuated(service string) bool {
+	if p.config == nil {
+		return false
+	}
+	evacuations, evacuated := evacuationsOf(p.fleet), false
+	for name, s := range p.config.BackendServers {
+		if s.Service != service {
+			continue
+		}
+		if !isEvacuated(p.config, s, p.targets[name].member, evacuations) {
+			return false
+		}
+		evacuated = true
+	}
+	return evacuated
+}
+
 // report records the outcome of a placed request.
 func (p *placer) report(t target, result placement.Result, firstToken, retryAfter time.Duration) {
 	p.mu.Lock()
