Refuse requests at agents of evacuated failure domains

An entry may learn of an evacuation later than the agent, and requests may wait in the agent's queue. The agent refuses new requests and ends the ones that were never sent to a backend server, both as not run, so that entries place them elsewhere. Running and paused generations stay.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -85,7 +85,9 @@
 	// replaced are servers at an address that is no longer declared, while they run requests.
 	replaced []*backendServer
 	ended    []endedRun
-	links    map[net.Conn]*linkConn
+	// evacuated is set while the failure domain of this host is evacuated.
+	evacuated bool
+	links     map[net.Conn]*linkConn
 
 	suspectsMu sync.Mutex
 	suspects   map[string]time.Time
@@ -151,6 +153,10 @@
 	hostLeaving, serverLeaving := a.leavingMarks()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// Read under the lock, so that concurrent calls do not apply an older set last.
+	if a.evacuated = a.isEvacuated(config); a.evacuated {
+		a.refuseWaiting()
+	}
 	for name, declared := range config.BackendServers {
 		if declared.Host != a.options.Host {
 			continue
@@ -274,6 +280,10 @@
 // findBackend returns a backend server that accepts work, or a refusal. The caller
 // holds a.mu.
 func (a *Agent) findBackend(name string) (*backendServer, *message.Refusal) {
+	if a.evacuated {
+		r := evacuationRefusal()
+		return nil, &r
+	}
 	b, ok := a.backends[name]
 	if !ok {
 		r := message.NewRefusal(verdict.ReasonNoBackendServer,
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -29,6 +29,7 @@
 	members     []message.Member
 	quarantined map[string]time.Duration
 	suspect     map[string]bool
+	evacuations message.EvacuationSet
 	host        string
 }
 
@@ -54,6 +55,13 @@
 	return remaining, f.suspect[digest], quarantined
 }
 
+// Evacuations implements entry.EvacuationList and agent.EvacuationList.
+func (f *fakeFleet) Evacuations() message.EvacuationSet {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations
+}
+
 func (f *fakeFleet) update(change func(*fakeFleet)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
