Replicate evacuations in the registry

Operators of INI deployments need evacuations that survive the loss of members and disks. The registry applies orders to a failuredomain.Evacuations, so an order has no effect once a later one was acknowledged. A failure domain is known if a declaration or a host names it, or while it is evacuated; this is decided when the order is applied. From then on they have format 2, which earlier programs refuse instead of dropping the evacuations.

--- a/core/registry/command.go
+++ b/core/registry/command.go
@@ -25,7 +25,8 @@
 	SetPlatformLeaving *SetPlatformLeaving `cbor:"10,keyasint,omitempty"`
 	RecordCrash        *RecordCrash        `cbor:"11,keyasint,omitempty"`
 	// Proposer identifies the process whose clock Time is read from.
-	Proposer uint64 `cbor:"12,keyasint"`
+	Proposer uint64    `cbor:"12,keyasint"`
+	Evacuate *Evacuate `cbor:"13,keyasint,omitempty"`
 }
 
 // ChangeConfig replaces sections if the configuration is still at revision
@@ -116,6 +117,15 @@
 	Cleared       []string `cbor:"4,keyasint,omitempty"`
 }
 
+// Evacuate starts or ends the evacuation of a failure domain if the domain's revision is
+// still Base. Its result is a message.EvacuateReply or an error.
+type Evacuate struct {
+	Domain   string `cbor:"1,keyasint"`
+	Evacuate bool   `cbor:"2,keyasint,omitempty"`
+	Base     uint64 `cbor:"3,keyasint,omitempty"`
+	Operator string `cbor:"4,keyasint,omitempty"`
+}
+
 // encoding is a deterministic CBOR mode, so that equal states have equal snapshots.
 var encoding = func() cbor.EncMode {
 	mode, err := cbor.CoreDetEncOptions().EncMode()
--- a/core/registry/random_test.go
+++ b/core/registry/random_test.go
@@ -114,9 +114,12 @@
 func (c *checker) runOther() {
 	name := fmt.Sprintf("h%d", c.rng.Intn(4))
 	digest := fmt.Sprintf("d%d", c.rng.Intn(20))
-	switch c.rng.Intn(6) {
+	switch c.rng.Intn(7) {
+	case 6:
+		c.runEvacuate()
 	case 0:
 		c.run(Command{Reports: []host.Report{{Host: name, Incarnation: message.Incarnation(c.rng.Intn(3)),
+			FailureDomain:  "far",
 			BackendServers: []message.BackendServerStatus{{Name: "s1", Healthy: true, Leaving: c.rng.Intn(4) == 0}}}}})
 	case 1:
 		c.run(Command{SetLeaving: &SetLeaving{Host: name, Leaving: c.rng.Intn(2) == 0}})
@@ -134,6 +137,33 @@
 	}
 }
 
+// runEvacuate applies an order that is up to two orders late. An order takes effect only
+// at the revision that it names, and only for a known failure domain.
+func (c *checker) runEvacuate() {
+	domain := []string{"d", "far", "unknown"}[c.rng.Intn(3)]
+	before := c.registry.evacuations.DomainRevision(domain)
+	evacuated := c.isEvacuated(domain)
+	order := &Evacuate{Domain: domain, Evacuate: c.rng.Intn(2) == 0, Base: before - min(before, uint64(c.rng.Intn(3)))}
+	known := c.registry.failureDomains()[domain]
+	reply, ok := c.run(Command{Evacuate: order}).(message.EvacuateReply)
+	effective := ok && !reply.Conflict
+	if ok != known || domain == "unknown" && ok || ok && effective != (order.Base == before) {
+		c.t.Fatalf("command %d: %+v at revision %d, known %v: %+v", len(c.log), order, before, known, reply)
+	}
+	want := evacuated
+	if effective {
+		want = order.Evacuate
+	}
+	if c.isEvacuated(domain) != want || effective && reply.Changed != (evacuated != want) {
+		c.t.Fatalf("command %d: %+v, evacuated before %v: %+v", len(c.log), order, evacuated, reply)
+	}
+}
+
+func (c *checker) isEvacuated(domain string) bool {
+	set := c.registry.EvacuationsSince(0)
+	return set != nil && set.Contains(domain)
+}
+
 // TestRandomCommands guards against a state that depends on anything other than the
 // log, and against violations of the invariants that checker verifies.
 func TestRandomCommands(t *testing.T) {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,12 +1,13 @@
 // Package registry implements the replicated state of the control group: the
-// configuration, the call ledger, leases, the membership of hosts and the requests
-// suspected of crashes. It is a deterministic state machine: equal logs give equal
+// configuration, the call ledger, leases, the membership of hosts, the requests
+// suspected of crashes and the evacuated failure domains. It is a deterministic state machine: equal logs give equal
 // states.
 package registry
 
 import (
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"arbutusmast.example/arbutusmast/core/host"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/quarantine"
@@ -21,16 +22,17 @@
 
 // Registry is the whole replicated state. It is not safe for concurrent use.
 type Registry struct {
-	index      uint64
-	clock      time.Duration
-	proposer   uint64
-	proposedAt time.Duration
-	config     configuration
-	calls      ledger
-	leases     leases
-	slots      slots
-	members    *host.Table
-	quarantine *quarantine.Table
+	index       uint64
+	clock       time.Duration
+	proposer    uint64
+	proposedAt  time.Duration
+	config      configuration
+	calls       ledger
+	leases      leases
+	slots       slots
+	members     *host.Table
+	quarantine  *quarantine.Table
+	evacuations failuredomain.Evacuations
 }
 
 // New returns an empty registry.
@@ -98,6 +100,8 @@
 		return r.slots.apply(r.clock, c.LoadSlot)
 	case c.RecordCrash != nil:
 		return r.recordCrash(c.RecordCrash)
+	case c.Evacuate != nil:
+		return r.evacuate(c.Evacuate)
 	default:
 		return r.executeMembership(c)
 	}
--- a/core/registry/snapshot.go
+++ b/core/registry/snapshot.go
@@ -6,15 +6,20 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/contract"
+	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"arbutusmast.example/arbutusmast/core/host"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/quarantine"
 	"github.com/pkg/errors"
 )
 
-// snapshotFormat is the version of the snapshot encoding. It changes when older
-// programs can no longer read new snapshots.
-const snapshotFormat = 1
+// Versions of the snapshot encoding. A snapshot has formatEvacuations once an order to
+// evacuate was applied: programs that know only formatBase refuse it instead of silently
+// dropping the evacuations.
+const (
+	formatBase        = 1
+	formatEvacuations = 2
+)
 
 // Image is a point-in-time copy of the state. It can be encoded while the registry
 // applies further commands.
@@ -34,6 +39,8 @@
 	Quarantine    quarantine.Snapshot   `cbor:"13,keyasint"`
 	Proposer      uint64                `cbor:"14,keyasint"`
 	ProposedAt    time.Duration         `cbor:"15,keyasint"`
+	// Evacuations is the encoded set with formatEvacuations, otherwise empty.
+	Evacuations []byte `cbor:"16,keyasint,omitempty"`
 }
 
 // Snapshot returns the whole state in encoded form. Equal states give equal bytes.
@@ -43,13 +50,17 @@
 // records, sections, deltas and change results are replaced instead of modified in
 // place, and the smaller tables are copied.
 func (r *Registry) Image() *Image {
-	return &Image{
-		Format: snapshotFormat, Index: r.index, Clock: r.clock, Revision: r.config.revision,
+	image := &Image{
+		Format: formatBase, Index: r.index, Clock: r.clock, Revision: r.config.revision,
 		Sections: r.config.sections, Winner: r.config.winner, Deltas: r.config.deltas, ChangeResults: r.config.results,
 		Calls: slices.Clone(r.calls.expiry), Leases: leases{r.leases.Fencing, maps.Clone(r.leases.ByServer)},
 		Slots: slots{maps.Clone(r.slots.ByServer)}, Members: r.members.Clone(), Quarantine: r.quarantine.Snapshot(),
 		Proposer: r.proposer, ProposedAt: r.proposedAt,
 	}
+	if !r.evacuations.IsEmpty() {
+		image.Format, image.Evacuations = formatEvacuations, r.evacuations.Encode()
+	}
+	return image
 }
 
 // Encode returns the snapshot of the image. It may take seconds for a large ledger.
@@ -72,10 +83,18 @@
 	if err := decoding.Unmarshal(snapshot, &i); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
-	if i.Format != snapshotFormat || i.Members == nil {
-		return errors.Errorf("snapshot has format %d, this program reads %d", i.Format, snapshotFormat)
+	if i.Format != formatBase && i.Format != formatEvacuations || i.Members == nil {
+		return errors.Errorf("snapshot has format %d, this program reads %d and %d", i.Format, formatBase,
+			formatEvacuations)
 	}
 	next := New()
+	if i.Format == formatEvacuations {
+		evacuations, _, err := failuredomain.DecodeEvacuations(i.Evacuations)
+		if err != nil {
+			return err
+		}
+		next.evacuations = evacuations
+	}
 	next.index, next.clock = i.Index, i.Clock
 	next.proposer, next.proposedAt = i.Proposer, i.ProposedAt
 	if err := next.config.restore(&i); err != nil {
