--- a/control/config.go
+++ b/control/config.go
@@ -16,6 +16,7 @@
 	var sections contract.Sections
 	s.options.Machine.View(func(r *registry.Registry) {
 		reply.Header, reply.Revision = s.header(r), r.Revision()
+		reply.Evacuations = r.EvacuationsSince(0)
 		deltas, ok := r.Deltas(request.From)
 		if ok && preferDeltas(deltas, len(r.Sections())) {
 			reply.Deltas = deltas
--- a/control/membership.go
+++ b/control/membership.go
@@ -32,8 +32,8 @@
 	maxRoles             = 16
 )
 
-// Heartbeat receives the report of a daemon and returns the changes of membership
-// and quarantine since the sequence numbers in the request. Heartbeat times are
+// Heartbeat receives the report of a daemon and returns the changes of membership,
+// quarantine and evacuations since the numbers in the request. Heartbeat times are
 // kept in the leader's memory, and only reports that differ from the registry are
 // proposed.
 func (s *Service) Heartbeat(request *message.HeartbeatRequest, reply *message.HeartbeatReply) error {
@@ -55,6 +55,7 @@
 		reply.Members, reply.Sequence = r.Members().ChangedSince(request.MembershipSeen)
 		reply.Quarantine, reply.QuarantineSequence, reply.QuarantineReset = r.Quarantine().Since(
 			r.ClockAt(s.proposer, now), request.QuarantineSeen, maxQuarantineChanges)
+		reply.Evacuations = r.EvacuationsSince(request.EvacuationsSeen)
 	})
 	reply.Leader = address
 	s.metrics.heartbeats.Add(1)
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -17,6 +17,12 @@
 	unknown       *expvar.Int
 	configChanges *expvar.Int
 	hostDeaths    *expvar.Int
+	// Orders to start or end an evacuation: committed; refused as invalid or without the
+	// credential; without a commit in time; and overtaken by a later order.
+	evacuationsAcknowledged *expvar.Int
+	evacuationsRefused      *expvar.Int
+	evacuationsUnanswered   *expvar.Int
+	evacuationConflicts     *expvar.Int
 }
 
 // newServiceMetrics registers the metrics of a service in m. If m is nil, they are
@@ -35,6 +41,7 @@
 	m.Gauge("control_leases_count", registryValue((*registry.Registry).Leases))
 	m.Gauge("control_members_count",
 		registryValue(func(r *registry.Registry) int { return len(r.Members().Members) }))
+	m.Gauge("control_evacuated_failure_domains_count", registryValue((*registry.Registry).EvacuatedDomains))
 	m.Gauge("control_config_revision", registryValue(func(r *registry.Registry) int { return int(r.Revision()) }))
 	m.Gauge("control_proposals_in_progress_count", func() float64 { return float64(len(s.proposalSlots)) })
 	m.Gauge("control_leading_count", func() float64 {
@@ -51,5 +58,10 @@
 		unknown:       m.Counter("control_proposals_unknown_total"),
 		configChanges: m.Counter("control_config_changes_total"),
 		hostDeaths:    m.Counter("control_host_deaths_total"),
+
+		evacuationsAcknowledged: m.Counter("control_evacuation_orders_acknowledged_total"),
+		evacuationsRefused:      m.Counter("control_evacuation_orders_refused_total"),
+		evacuationsUnanswered:   m.Counter("control_evacuation_orders_unanswered_total"),
+		evacuationConflicts:     m.Counter("control_evacuation_orders_conflicting_total"),
 	}
 }
