Add the command evacuate to arbutusctl

Operators start and end the evacuation of a failure domain and list the known ones. The command reads the domain's revision from a leader with a quorum and names it in the order; after a conflict it repeats the order with the current revision until its time limit. An unknown failure domain ends it with code 1 and the known names, opposite orders until the limit with code 3.

--- a/operator/app.go
+++ b/operator/app.go
@@ -133,7 +133,7 @@
 
 func commands() []command {
 	return []command{
-		checkCommand, diffCommand, applyCommand, statusCommand, drainCommand, membersCommand,
+		checkCommand, diffCommand, applyCommand, statusCommand, drainCommand, evacuateCommand, membersCommand,
 		burnCommand, explainCommand, partsCommand, serversCommand, loadCommand, measureCommand, versionCommand,
 	}
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -46,6 +46,7 @@
 	leaving     []string
 	// losesQuorum is set if the group has no quorum after a member was added.
 	losesQuorum bool
+	evacuations fakeEvacuations
 }
 
 func (s *fakeControl) Status(_ *message.StatusRequest, r *message.StatusReply) error {
