--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -152,11 +152,16 @@
 	return path
 }
 
-// startDaemon starts a daemon with additional settings. At the end of the test it
-// is killed, and its log is printed if the test failed.
+// startDaemon starts a daemon with additional settings in the failure domain "pinecrest".
 func (c *cluster) startDaemon(name, roles, extra string) {
-	text := fmt.Sprintf("[daemon]\nhost = %s\nfailure_domain = pinecrest\nroles = %s\ndrain_timeout = 25s\n%s",
-		name, roles, extra)
+	c.startDaemonIn("pinecrest", name, roles, extra)
+}
+
+// startDaemonIn starts a daemon with additional settings. At the end of the test it is
+// killed, and its log is printed if the test failed.
+func (c *cluster) startDaemonIn(failureDomain, name, roles, extra string) {
+	text := fmt.Sprintf("[daemon]\nhost = %s\nfailure_domain = %s\nroles = %s\ndrain_timeout = 25s\n%s",
+		name, failureDomain, roles, extra)
 	p := &process{
 		t: c.t, name: name, args: []string{"-config", c.writeFile(name+".ini", text)},
 		log: filepath.Join(c.folder, name+".log"),
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -31,17 +31,7 @@
 	c.writeFile("config.d/10.ini", fmt.Sprintf(declaration, engine, 8, engine, 8, desk))
 	c.startDaemon("s1", "standin", fmt.Sprintf(
 		"[standin coach-1]\nlisten = %s\n[standin desk-1]\nkind = plain\nlisten = %s\n", engine, desk))
-	var members []string
-	for id := 1; id <= 3; id++ {
-		g.control = append(g.control, freePort(t))
-		members = append(members, fmt.Sprintf("%d@%s", id, g.control[id-1]))
-	}
-	for id := 1; id <= 3; id++ {
-		c.startDaemon(fmt.Sprintf("c%d", id), "control", fmt.Sprintf(
-			"peer_listen = %s\n[control]\ndata_folder = %s\nmember_id = %d\nmembers = %s\nbootstrap_folder = %s\noperator_key_sha256 = %s\n",
-			g.control[id-1], filepath.Join(c.folder, fmt.Sprint("data", id)), id, strings.Join(members, ", "),
-			filepath.Join(c.folder, "config.d"), operatorKeySHA))
-	}
+	g.startControl()
 	controlAddresses := strings.Join(g.control, ", ")
 	c.startDaemon("a1", "agent", fmt.Sprintf(
 		"peer_listen = %s\ncontrol_addresses = %s\n[agent]\nlink_listen = %s\n",
@@ -55,6 +45,21 @@
 	return g
 }
 
+// startControl starts three control members with the declarations in config.d.
+func (g *replicatedCluster) startControl() {
+	var members []string
+	for id := 1; id <= 3; id++ {
+		g.control = append(g.control, freePort(g.t))
+		members = append(members, fmt.Sprintf("%d@%s", id, g.control[id-1]))
+	}
+	for id := 1; id <= 3; id++ {
+		g.startDaemon(fmt.Sprintf("c%d", id), "control", fmt.Sprintf(
+			"peer_listen = %s\n[control]\ndata_folder = %s\nmember_id = %d\nmembers = %s\nbootstrap_folder = %s\noperator_key_sha256 = %s\n",
+			g.control[id-1], filepath.Join(g.folder, fmt.Sprint("data", id)), id, strings.Join(members, ", "),
+			filepath.Join(g.folder, "config.d"), operatorKeySHA))
+	}
+}
+
 // ctl runs arbutusctl and returns its exit code and output.
 func (g *replicatedCluster) ctl(args ...string) (int, string) {
 	cmd := exec.Command(ctlBinary, append([]string{args[0], "-control", strings.Join(g.control, ",")}, args[1:]...)...)
@@ -65,17 +70,23 @@
 
 // revisionInForce returns the configuration revision that the entry uses, or 0 if
 // the entry does not respond.
-func (g *replicatedCluster) revisionInForce() int {
+func (g *replicatedCluster) revisionInForce() int { return g.metrics().Revision }
+
+// entryMetrics are metrics of the entry.
+type entryMetrics struct {
+	Revision  int `json:"config_revision"`
+	Evacuated int `json:"peer_evacuated_failure_domains_count"`
+}
+
+// metrics returns the metrics of the entry, zeros if it does not respond.
+func (g *replicatedCluster) metrics() (m entryMetrics) {
 	resp, err := http.Get("http://" + g.ops + "/debug/vars")
 	if err != nil {
-		return 0
+		return m
 	}
 	defer resp.Body.Close()
-	var vars struct {
-		Revision int `json:"config_revision"`
-	}
-	_ = json.NewDecoder(resp.Body).Decode(&vars)
-	return vars.Revision
+	_ = json.NewDecoder(resp.Body).Decode(&m)
+	return m
 }
 
 // leader waits until a control member leads with a quorum and returns its name.
