--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"arbutusmast.example/arbutusmast/core/contract"
 	"arbutusmast.example/arbutusmast/core/message"
@@ -97,24 +98,39 @@
 	}
 }
 
-// TestEvacuatedServerIsNotRetried guards against a retry, a probe of a failing server
-// or a resumed generation in an evacuated failure domain: none of the other servers is
-// left, and the evacuated one is idle.
+// TestEvacuatedServerIsNotRetried guards against a retry, a resumed generation or a probe
+// of a failing server in an evacuated failure domain, where no other server is left. The
+// same requests are placed there before the evacuation.
 func TestEvacuatedServerIsNotRetried(t *testing.T) {
-	f := newPlacerFleet(t, 1, 1)
-	p := newPlacer(f, "a")
-	for range 100 {
-		if t, ok := p.choose("desk", placement.Query{Blocks: 1, Exclude: []string{"b00"}}); ok {
-			p.report(t, placement.Failed, 0, 0)
-		}
+	tried := []string{"b00"}
+	tests := map[string]struct {
+		failures int
+		query    placement.Query
+	}{
+		"retry":                   {0, placement.Query{Blocks: 1, Exclude: tried}},
+		"urgent retry":            {0, placement.Query{Blocks: 1, Exclude: tried, Priority: 100}},
+		"probe of a failing one":  {100, placement.Query{Blocks: 1, Exclude: tried}},
+		"granted probe":           {0, placement.Query{Blocks: 1, Exclude: tried, Probe: "a00"}},
+		"request that may crash":  {0, placement.Query{Blocks: 1, Exclude: tried, IsolationKey: "k"}},
+		"prefix in the own cache": {0, placement.Query{Blocks: 1, Exclude: tried, PrefixKey: "p"}},
 	}
-	f.evacuate("a")
-	for _, q := range []placement.Query{
-		{Blocks: 1, Exclude: []string{"b00"}}, {Blocks: 1, Exclude: []string{"b00"}, Priority: 100},
-		{Blocks: 1, Exclude: []string{"b00"}, Probe: "a00"}, {Blocks: 1, Exclude: []string{"b00"}, IsolationKey: "k"},
-	} {
-		if got, ok := p.choose("desk", q); ok {
-			t.Errorf("%+v was placed on %s", q, got.server.Name)
+	for name, test := range tests {
+		f := newPlacerFleet(t, 1, 1)
+		p := newPlacer(f, "a")
+		for range test.failures {
+			if got, ok := p.choose("desk", test.query); ok {
+				p.report(got, placement.Failed, 0, 0)
+			}
+		}
+		// A probe is due long after the failures.
+		p.startedAt = p.startedAt.Add(-time.Hour)
+		if got, ok := p.choose("desk", test.query); !ok || got.server.Name != "a00" {
+			t.Errorf("%s before the evacuation: placed %v on %q", name, ok, got.server.Name)
+		}
+		p.startedAt = p.startedAt.Add(-time.Hour)
+		f.evacuate("a")
+		if got, ok := p.choose("desk", test.query); ok {
+			t.Errorf("%s during the evacuation: placed on %s", name, got.server.Name)
 		}
 	}
 }
