Bound the size of evacuation orders

One request could put a name of any length into the log lines of the control members and into the replicated log. Names of failure domain and operator together now have at most 1,024 bytes, as for changes of the configuration. The daemon also checks at compile time that entry and agent find the evacuations in peer.State, because the interface is optional.

--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -14,7 +14,14 @@
 // is sent after the order was committed, also if it requests the state already in
 // effect.
 func (s *Service) Evacuate(request *message.EvacuateRequest, reply *message.EvacuateReply) error {
-	logger := s.options.Logger.With(zap.String("operator", request.Operator),
+	// Bounds what one request adds to the log lines and to the replicated log.
+	if len(request.Domain)+len(request.Operator) > registry.MaxTextBytes {
+		s.metrics.evacuationsRefused.Add(1)
+		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonInvalid,
+			"the failure domain and the operator have more than %d bytes", registry.MaxTextBytes))
+	}
+	logger := s.options.Logger.With(
+		zap.String("operator", request.Operator),
 		zap.String("failure_domain", request.Domain), zap.Bool("evacuate", request.Evacuate),
 		zap.Uint64("base", request.Base))
 	if err := s.authorize(request.Credential); err != nil {
--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -39,6 +39,8 @@
 			message.EvacuateReply{}, "unauthorized", "refused"},
 		{"unknown domain", false, nil, message.EvacuateRequest{Domain: "pine", Evacuate: true},
 			message.EvacuateReply{}, `"pine" is not known; known are pinecrest`, "refused"},
+		{"long name", false, nil, message.EvacuateRequest{Domain: strings.Repeat("x", 2000), Evacuate: true},
+			message.EvacuateReply{}, "more than 1024 bytes", "refused"},
 		{"follower", true, nil, message.EvacuateRequest{Domain: "pinecrest", Evacuate: true},
 			message.EvacuateReply{}, "not leader 127.0.0.1:7", ""},
 		{"no quorum", false, quorumLost, message.EvacuateRequest{Domain: "pinecrest", Evacuate: true},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,12 @@
 	"go.uber.org/zap"
 )
 
+// Entry and agent use these optional interfaces if their Fleet implements them.
+var (
+	_ entry.EvacuationList = (*peer.State)(nil)
+	_ agent.EvacuationList = (*peer.State)(nil)
+)
+
 // Daemon is one running process with its roles.
 type Daemon struct {
 	settings    *settings.Settings
