--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,12 @@
 	"go.uber.org/zap"
 )
 
+// Entry and agent use these optional interfaces if their Fleet implements them.
+var (
+	_ entry.EvacuationList = (*peer.State)(nil)
+	_ agent.EvacuationList = (*peer.State)(nil)
+)
+
 // Daemon is one running process with its roles.
 type Daemon struct {
 	settings    *settings.Settings
@@ -177,6 +183,7 @@
 	go d.agent.ServeLinks(listener)
 	d.state.OnConfig(ctx, func(*contract.Config) { d.agent.Reconcile() })
 	d.state.OnMembers(ctx, func([]message.Member) { d.agent.Reconcile() })
+	d.state.OnEvacuations(ctx, func(message.EvacuationSet) { d.agent.Reconcile() })
 	go orders.Run(ctx)
 	return d.rpc.Register("Agent", d.agent.Service())
 }
