--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -192,7 +192,7 @@
 		Seeds: d.seeds, Codec: platform.Codec{}, Directory: listClient(s, fallbackListShare, true, d.logger), Pool: d.pool,
 		Logger: d.logger, FailureDomain: s.FailureDomain, Entry: s.Host,
 	})
-	d.metrics.Gauge("gateway_evacuated_domains_count", func() float64 { return float64(len(watcher.View().Evacuations)) })
+	d.metrics.Gauge("gateway_evacuated_failure_domains_count", func() float64 { return float64(len(watcher.View().Evacuations)) })
 	g := gateway.New(gateway.Options{
 		Fleet: watcher, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
 		Locator:  &evacuate.Locator{Pool: d.pool, AgentAddress: s.AgentAddressFor},
@@ -257,7 +257,7 @@
 		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: d.seeds,
 		Bootstrap: s.FirstStart, MinVoters: roster.MinVoters(s.ToleratedLosses, s.ToleratedDomains),
 		RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		ServesEvacuations: s.EvacuationInForce > 0, FailureDomains: d.failureDomains,
+		ServesEvacuations: s.EvacuationBound > 0, FailureDomains: d.failureDomains,
 		Codec: platform.Codec{}, Directory: listClient(s, leaderListShare, false, d.logger), Pool: d.pool, Dial: d.dial,
 		Server: server, Logger: d.logger, Metrics: d.metrics,
 	})
@@ -266,7 +266,7 @@
 	}
 	stopping := atomic.Bool{}
 	var evacuator platform.Evacuator
-	if s.EvacuationInForce > 0 {
+	if s.EvacuationBound > 0 {
 		evacuator = control
 	}
 	operators := newGracefulServer(platform.OperatorHandler(control, evacuator, d.logger), &stopping, d.logger)
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -125,7 +125,7 @@
 	})
 	m.Gauge("control_voter_count", func() float64 { voters, _ := c.countMembers(); return float64(voters) })
 	m.Gauge("control_learner_count", func() float64 { _, learners := c.countMembers(); return float64(learners) })
-	m.Gauge("control_evacuated_domains_count", func() float64 { return float64(c.countEvacuated()) })
+	m.Gauge("control_evacuated_failure_domains_count", func() float64 { return float64(c.countEvacuated()) })
 	return controlMetrics{
 		evacuationsAcknowledged: m.Counter("control_evacuations_acknowledged_total"),
 		evacuationsRefused:      m.Counter("control_evacuations_refused_total"),
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -249,7 +249,7 @@
 func logEvacuation(logger *zap.Logger, domain string, evacuated bool, domainRevision uint64) {
 	message := "evacuation of a failure domain ended"
 	if evacuated {
-		message = "evacuation of a failure domain in force"
+		message = "evacuation of a failure domain in effect"
 	}
 	logger.Info(message, zap.String("failure_domain", domain), zap.Uint64("domain_revision", domainRevision))
 }
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -80,6 +80,10 @@
 	disconnected   bool
 	disconnectedAt time.Duration
 
+	// evacuationLogger logs evacuations that begin and end. Entries and agents do that themselves,
+	// where they act on it.
+	evacuationLogger *zap.Logger
+
 	mu        sync.Mutex
 	listeners []func(*View)
 }
@@ -87,7 +91,10 @@
 // NewWatcher returns a Watcher. Run starts it.
 func NewWatcher(options WatcherOptions) *Watcher {
 	w := &Watcher{options: options, memberDomains: map[string]string{}, failedAt: map[string]time.Duration{},
-		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
+		rng: rand.New(rand.NewSource(time.Now().UnixNano())), evacuationLogger: zap.NewNop()}
+	if options.LeaderOnly {
+		w.evacuationLogger = options.Logger
+	}
 	w.view.Store(&View{})
 	return w
 }
@@ -302,7 +309,7 @@
 			changed = true
 		}
 	}
-	if next.applyEvacuations(reply, SinceBoot(), w.options.Logger) {
+	if next.applyEvacuations(reply, SinceBoot(), w.evacuationLogger) {
 		changed = true
 	}
 	if reply.HasLimits {
