Give starting daemons only a desired state that was lately confirmed

A member that was cut off has been confirmed since its start, and gave a starting entry a desired state without the evacuations that were acknowledged meanwhile. Daemons accept any state after 3 s, so the group's loss does not keep entries from serving. The evacuations of a reply are read after the desired state, so that both are covered by the same confirmation.

go test ./fleet -run 'Evacuat|Starting|WithoutDisk|Wakes': ok.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -95,8 +95,6 @@
 	// confirmed is the time since boot at which the last successful confirmation by
 	// a quorum started, 0 before the first.
 	confirmed atomic.Int64
-	// startedAt is the time since boot at which this member was made.
-	startedAt time.Duration
 
 	metrics controlMetrics
 
@@ -156,7 +154,7 @@
 // NewControl returns a Control and registers its service. Run starts it.
 func NewControl(options ControlOptions) (*Control, error) {
 	c := &Control{options: options, servers: newServerList(options.Address + "/" + newNonce()),
-		nonces: map[string]consensus.MemberID{}, startedAt: SinceBoot()}
+		nonces: map[string]consensus.MemberID{}}
 	c.limits = &limitTable{source: c.servers.source, notify: c.servers.notify}
 	c.parts = &partTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.standings = &standingTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
@@ -265,9 +263,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
 		if err := c.node.Load().Barrier(callCtx); err == nil {
-			first := c.confirmed.Load() == 0
+			wasSure := c.isSure()
 			storeMax(&c.confirmed, start)
-			if first {
+			if !wasSure {
 				// Daemons that start wait for it, see mayServeState.
 				c.servers.notify()
 			}
--- a/fleet/evacuationfailures_test.go
+++ b/fleet/evacuationfailures_test.go
@@ -95,6 +95,30 @@
 	eventually(t, "the daemon has a desired state", func() bool { return late.View().Table != nil })
 }
 
+// Guards against a daemon that starts to serve with what a member knew when it was cut off.
+func TestStartingDaemonAvoidsAMemberThatIsCutOff(t *testing.T) {
+	g := startEvacuationGroup(t)
+	cutOff := g.members[g.seeds[0]]
+	cutOff.evacuated(t)
+	g.kill(g.seeds[1])
+	g.kill(g.seeds[2])
+	eventually(t, "the member is not sure", func() bool { return !cutOff.isSure() })
+	for _, request := range []WatchRequest{{}, {AcceptsUnconfirmed: true}, {Version: 0, WantsEvacuations: true}} {
+		var reply WatchReply
+		if err := (&service{cutOff.Control}).Watch(&request, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if given := reply.Document != nil; given != request.AcceptsUnconfirmed {
+			t.Errorf("accepts unconfirmed %v: desired state given %v", request.AcceptsUnconfirmed, given)
+		}
+	}
+	w := g.startWatcher(t)
+	eventually(t, "the daemon has a desired state", func() bool { return w.View().Table != nil })
+	if waited := SinceBoot() - w.startedAt; waited < unconfirmedHold {
+		t.Errorf("the daemon had an unconfirmed desired state after %v", waited)
+	}
+}
+
 // Guards against a process without a disk that does not know the evacuations, which it needs for
 // orders that it forwards, or that does not forward them.
 func TestProcessWithoutDiskForwardsOrders(t *testing.T) {
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -20,9 +20,9 @@
 	evacuateAttemptTimeout = 350 * time.Millisecond
 	// evacuateTimeout limits the leader's attempt to commit an order for another member.
 	evacuateTimeout = time.Second
-	// unconfirmedHold is how long a member that has just started keeps the desired state from
-	// daemons until a quorum has confirmed that it knows all evacuations. Without a quorum,
-	// daemons get what the member knows after that.
+	// unconfirmedHold is how long a daemon that has just started waits for a desired state from a
+	// member whose state, with all evacuations, a quorum has confirmed. After that it accepts what
+	// any member knows.
 	unconfirmedHold = 3 * time.Second
 )
 
@@ -204,11 +204,17 @@
 }
 
 // mayServeState reports whether the sender of a watch gets the desired state. A daemon that has
-// none begins to serve with it, and then must know the evacuations, of which a member that
-// restarted knows only those of its snapshot until a quorum has confirmed its state.
+// none begins to serve with it, and then must know the evacuations. A member that restarted knows
+// only those of its snapshot until a quorum has confirmed its state, and one that is cut off only
+// those of before.
 func (c *Control) mayServeState(request *WatchRequest) bool {
-	return !c.options.ServesEvacuations || request.Version != 0 || c.confirmed.Load() != 0 ||
-		SinceBoot()-c.startedAt > unconfirmedHold
+	return !c.options.ServesEvacuations || request.Version != 0 || request.AcceptsUnconfirmed || c.isSure()
+}
+
+// isSure reports whether a quorum has lately confirmed that this member's state is current.
+func (c *Control) isSure() bool {
+	age, ok := readingAge(&c.confirmed)
+	return ok && age <= maxConfirmationAge
 }
 
 // fillEvacuations sets the set in a reply if the sender of a watch knows an older one.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -35,6 +35,8 @@
 	// failure domains.
 	WantsEvacuations bool
 	Evacuations      uint64
+	// AcceptsUnconfirmed is set by daemons that have waited for a confirmed desired state in vain.
+	AcceptsUnconfirmed bool
 	// LeaderOnly watches get nothing but the members, the leader and the evacuations.
 	LeaderOnly bool
 	// Entry is the name of an entry, which gets only the loads of the servers that it places
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -211,12 +211,13 @@
 		reply.Confirmed, reply.ConfirmedAge = true, SinceBoot()-time.Duration(at)
 	}
 	now := SinceBoot()
-	if request.WantsEvacuations {
-		c.fillEvacuations(request.Evacuations, reply)
-	}
 	if !request.LeaderOnly {
 		c.fillReply(request, now, reply)
 	}
+	// The evacuations are read after the desired state, so that they are at least as new as it.
+	if request.WantsEvacuations {
+		c.fillEvacuations(request.Evacuations, reply)
+	}
 	for _, m := range node.Members() {
 		reply.Members = append(reply.Members, m.Address)
 	}
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -71,6 +71,8 @@
 	// confirmed is the time since boot at which a quorum last confirmed the desired state,
 	// and listRead that of the last read of the list; 0 before the first.
 	confirmed, listRead atomic.Int64
+	// startedAt is the time since boot at which this watcher was made.
+	startedAt time.Duration
 	// watched is the peer address of the member to watch, empty while none is chosen.
 	watched string
 	// memberDomains maps members that replied to their failure domains.
@@ -91,7 +93,8 @@
 // NewWatcher returns a Watcher. Run starts it.
 func NewWatcher(options WatcherOptions) *Watcher {
 	w := &Watcher{options: options, memberDomains: map[string]string{}, failedAt: map[string]time.Duration{},
-		rng: rand.New(rand.NewSource(time.Now().UnixNano())), evacuationLogger: zap.NewNop()}
+		rng: rand.New(rand.NewSource(time.Now().UnixNano())), evacuationLogger: zap.NewNop(),
+		startedAt: SinceBoot()}
 	if options.LeaderOnly {
 		w.evacuationLogger = options.Logger
 	}
@@ -220,7 +223,8 @@
 	}
 	request := &WatchRequest{Version: v.Version, List: v.listStamp, Wait: wait, Lazy: w.options.Lazy, Entry: w.options.Entry,
 		LeaderOnly: w.options.LeaderOnly, WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision,
-		WantsLimits: true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
+		AcceptsUnconfirmed: SinceBoot()-w.startedAt > unconfirmedHold,
+		WantsLimits:        true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
 		WantsStandings: true, Standings: v.standingsStamp}
 	if v.Table == nil {
 		request.Version = 0
