Ask the next leader for an order as soon as it is known

A call to a lost leader took the rest of the operator's second. A limit of 350 ms for the call was wrong where a commit takes longer, because each attempt after it waits for the disk as long again. Now the call ends when the member learns that another one leads.

go test ./fleet -run FollowsTheLeader -count 5: ok; without the check it fails after 30 s.

--- a/fleet/evacuationfailures_test.go
+++ b/fleet/evacuationfailures_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -13,7 +14,9 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/failuredomain"
+	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
+	"go.uber.org/zap"
 )
 
 // Guards against loss of an acknowledged evacuation or of its end when all members are killed, when
@@ -205,6 +208,31 @@
 	}
 }
 
+// Guards against an order that waits for a lost leader although the next one is known.
+func TestOrderFollowsTheLeader(t *testing.T) {
+	g := startEvacuationGroup(t)
+	l, err := net.Listen("tcp", freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, pool := wire.NewServer(l), wire.NewPool(nil)
+	defer func() { server.Close(); pool.Close() }()
+	c, err := NewControl(ControlOptions{Address: l.Addr().String(), Seeds: g.seedsOf(), Codec: testCodec{}, Pool: pool,
+		Dial: wire.DialTCP, Server: server, Logger: zap.NewNop(), Metrics: observe.NewMetrics()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := g.leader()
+	eventually(t, "an order is acknowledged while its operator waits", func() bool {
+		c.watcher.SetLeader(newUnresponsiveListener(t))
+		time.AfterFunc(5*evacuationSettleDelay, func() { c.watcher.SetLeader(leader) })
+		ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+		defer cancel()
+		return c.StartEvacuation(ctx, "a") == nil
+	})
+	g.checkEvacuated("a")
+}
+
 // Guards against orders of two operators at once of which one is never acknowledged, and against
 // members that differ afterwards.
 func TestConcurrentOrders(t *testing.T) {
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -15,9 +15,9 @@
 	// closed its connection. If the connection or this process was held up, the order and the end
 	// of the connection arrive together, and the order must not be taken for a new one.
 	evacuationSettleDelay = 20 * time.Millisecond
-	// evacuateAttemptTimeout limits one call to the leader, which may have been lost. Operators wait
-	// for a second, so the next leader has to be asked before that.
-	evacuateAttemptTimeout = 350 * time.Millisecond
+	// leaderCheckInterval is the interval at which a member that waits for the leader's reply checks
+	// that it still leads. Operators wait for a second, so the next leader has to be asked at once.
+	leaderCheckInterval = 30 * time.Millisecond
 	// evacuateTimeout limits the leader's attempt to commit an order for another member.
 	evacuateTimeout = time.Second
 	// unconfirmedHold is how long a daemon that has just started waits for a desired state from a
@@ -130,24 +130,36 @@
 // tryEvacuate makes one attempt to commit an order, locally if this member leads, else by
 // a call to the leader.
 func (c *Control) tryEvacuate(ctx context.Context, order failuredomain.Order) (EvacuateReply, error) {
-	leader := c.watcher.View().Leader
-	if node := c.node.Load(); node != nil {
-		address, self := node.Leader()
-		if self {
-			return c.proposeOrder(ctx, order)
-		}
-		leader = address
+	leader, self := c.leader()
+	if self {
+		return c.proposeOrder(ctx, order)
 	}
 	if leader == "" || leader == c.options.Address {
 		return EvacuateReply{}, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
 	}
 	var reply EvacuateReply
-	ctx, cancel := context.WithTimeout(ctx, evacuateAttemptTimeout)
+	// A lost leader does not end the call, and a slow one must not, because every attempt after the
+	// first would wait for the disk as long.
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go every(ctx, leaderCheckInterval, func() {
+		if now, _ := c.leader(); now != leader {
+			cancel()
+		}
+	})
 	err := c.options.Pool.Call(ctx, leader, ServiceName+".Evacuate", &EvacuateRequest{Order: order}, &reply)
 	return reply, err
 }
 
+// leader returns the peer address of the leader that this member knows, empty if none, and whether
+// it is this member.
+func (c *Control) leader() (address string, self bool) {
+	if node := c.node.Load(); node != nil {
+		return node.Leader()
+	}
+	return c.watcher.View().Leader, false
+}
+
 // proposeOrder commits an order through the consensus log. An order that asks for the state that
 // holds is committed as well, because it has to overtake older orders in transit.
 func (c *Control) proposeOrder(ctx context.Context, order failuredomain.Order) (EvacuateReply, error) {
