--- a/fleet/evacuationfailures_test.go
+++ b/fleet/evacuationfailures_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -13,7 +14,9 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/failuredomain"
+	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
+	"go.uber.org/zap"
 )
 
 // Guards against loss of an acknowledged evacuation or of its end when all members are killed, when
@@ -95,6 +98,30 @@
 	eventually(t, "the daemon has a desired state", func() bool { return late.View().Table != nil })
 }
 
+// Guards against a daemon that starts to serve with what a member knew when it was cut off.
+func TestStartingDaemonAvoidsAMemberThatIsCutOff(t *testing.T) {
+	g := startEvacuationGroup(t)
+	cutOff := g.members[g.seeds[0]]
+	cutOff.evacuated(t)
+	g.kill(g.seeds[1])
+	g.kill(g.seeds[2])
+	eventually(t, "the member is not sure", func() bool { return !cutOff.isSure() })
+	for _, request := range []WatchRequest{{}, {AcceptsUnconfirmed: true}, {Version: 0, WantsEvacuations: true}} {
+		var reply WatchReply
+		if err := (&service{cutOff.Control}).Watch(&request, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if given := reply.Document != nil; given != request.AcceptsUnconfirmed {
+			t.Errorf("accepts unconfirmed %v: desired state given %v", request.AcceptsUnconfirmed, given)
+		}
+	}
+	w := g.startWatcher(t)
+	eventually(t, "the daemon has a desired state", func() bool { return w.View().Table != nil })
+	if waited := SinceBoot() - w.startedAt; waited < unconfirmedHold {
+		t.Errorf("the daemon had an unconfirmed desired state after %v", waited)
+	}
+}
+
 // Guards against a process without a disk that does not know the evacuations, which it needs for
 // orders that it forwards, or that does not forward them.
 func TestProcessWithoutDiskForwardsOrders(t *testing.T) {
@@ -181,6 +208,31 @@
 	}
 }
 
+// Guards against an order that waits for a lost leader although the next one is known.
+func TestOrderFollowsTheLeader(t *testing.T) {
+	g := startEvacuationGroup(t)
+	l, err := net.Listen("tcp", freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, pool := wire.NewServer(l), wire.NewPool(nil)
+	defer func() { server.Close(); pool.Close() }()
+	c, err := NewControl(ControlOptions{Address: l.Addr().String(), Seeds: g.seedsOf(), Codec: testCodec{}, Pool: pool,
+		Dial: wire.DialTCP, Server: server, Logger: zap.NewNop(), Metrics: observe.NewMetrics()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := g.leader()
+	eventually(t, "an order is acknowledged while its operator waits", func() bool {
+		c.watcher.SetLeader(newUnresponsiveListener(t))
+		time.AfterFunc(5*evacuationSettleDelay, func() { c.watcher.SetLeader(leader) })
+		ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+		defer cancel()
+		return c.StartEvacuation(ctx, "a") == nil
+	})
+	g.checkEvacuated("a")
+}
+
 // Guards against orders of two operators at once of which one is never acknowledged, and against
 // members that differ afterwards.
 func TestConcurrentOrders(t *testing.T) {
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -15,14 +15,14 @@
 	// closed its connection. If the connection or this process was held up, the order and the end
 	// of the connection arrive together, and the order must not be taken for a new one.
 	evacuationSettleDelay = 20 * time.Millisecond
-	// evacuateAttemptTimeout limits one call to the leader, which may have been lost. Operators wait
-	// for a second, so the next leader has to be asked before that.
-	evacuateAttemptTimeout = 350 * time.Millisecond
+	// leaderCheckInterval is the interval at which a member that waits for the leader's reply checks
+	// that it still leads. Operators wait for a second, so the next leader has to be asked at once.
+	leaderCheckInterval = 30 * time.Millisecond
 	// evacuateTimeout limits the leader's attempt to commit an order for another member.
 	evacuateTimeout = time.Second
-	// unconfirmedHold is how long a member that has just started keeps the desired state from
-	// daemons until a quorum has confirmed that it knows all evacuations. Without a quorum,
-	// daemons get what the member knows after that.
+	// unconfirmedHold is how long a daemon that has just started waits for a desired state from a
+	// member whose state, with all evacuations, a quorum has confirmed. After that it accepts what
+	// any member knows.
 	unconfirmedHold = 3 * time.Second
 )
 
@@ -130,24 +130,36 @@
 // tryEvacuate makes one attempt to commit an order, locally if this member leads, else by
 // a call to the leader.
 func (c *Control) tryEvacuate(ctx context.Context, order failuredomain.Order) (EvacuateReply, error) {
-	leader := c.watcher.View().Leader
-	if node := c.node.Load(); node != nil {
-		address, self := node.Leader()
-		if self {
-			return c.proposeOrder(ctx, order)
-		}
-		leader = address
+	leader, self := c.leader()
+	if self {
+		return c.proposeOrder(ctx, order)
 	}
 	if leader == "" || leader == c.options.Address {
 		return EvacuateReply{}, verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "no leader is known")
 	}
 	var reply EvacuateReply
-	ctx, cancel := context.WithTimeout(ctx, evacuateAttemptTimeout)
+	// A lost leader does not end the call, and a slow one must not, because every attempt after the
+	// first would wait for the disk as long.
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go every(ctx, leaderCheckInterval, func() {
+		if now, _ := c.leader(); now != leader {
+			cancel()
+		}
+	})
 	err := c.options.Pool.Call(ctx, leader, ServiceName+".Evacuate", &EvacuateRequest{Order: order}, &reply)
 	return reply, err
 }
 
+// leader returns the peer address of the leader that this member knows, empty if none, and whether
+// it is this member.
+func (c *Control) leader() (address string, self bool) {
+	if node := c.node.Load(); node != nil {
+		return node.Leader()
+	}
+	return c.watcher.View().Leader, false
+}
+
 // proposeOrder commits an order through the consensus log. An order that asks for the state that
 // holds is committed as well, because it has to overtake older orders in transit.
 func (c *Control) proposeOrder(ctx context.Context, order failuredomain.Order) (EvacuateReply, error) {
@@ -204,11 +216,17 @@
 }
 
 // mayServeState reports whether the sender of a watch gets the desired state. A daemon that has
-// none begins to serve with it, and then must know the evacuations, of which a member that
-// restarted knows only those of its snapshot until a quorum has confirmed its state.
+// none begins to serve with it, and then must know the evacuations. A member that restarted knows
+// only those of its snapshot until a quorum has confirmed its state, and one that is cut off only
+// those of before.
 func (c *Control) mayServeState(request *WatchRequest) bool {
-	return !c.options.ServesEvacuations || request.Version != 0 || c.confirmed.Load() != 0 ||
-		SinceBoot()-c.startedAt > unconfirmedHold
+	return !c.options.ServesEvacuations || request.Version != 0 || request.AcceptsUnconfirmed || c.isSure()
+}
+
+// isSure reports whether a quorum has lately confirmed that this member's state is current.
+func (c *Control) isSure() bool {
+	age, ok := readingAge(&c.confirmed)
+	return ok && age <= maxConfirmationAge
 }
 
 // fillEvacuations sets the set in a reply if the sender of a watch knows an older one.
@@ -249,7 +267,7 @@
 func logEvacuation(logger *zap.Logger, domain string, evacuated bool, domainRevision uint64) {
 	message := "evacuation of a failure domain ended"
 	if evacuated {
-		message = "evacuation of a failure domain in force"
+		message = "evacuation of a failure domain in effect"
 	}
 	logger.Info(message, zap.String("failure_domain", domain), zap.Uint64("domain_revision", domainRevision))
 }
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -71,6 +71,8 @@
 	// confirmed is the time since boot at which a quorum last confirmed the desired state,
 	// and listRead that of the last read of the list; 0 before the first.
 	confirmed, listRead atomic.Int64
+	// startedAt is the time since boot at which this watcher was made.
+	startedAt time.Duration
 	// watched is the peer address of the member to watch, empty while none is chosen.
 	watched string
 	// memberDomains maps members that replied to their failure domains.
@@ -80,6 +82,10 @@
 	disconnected   bool
 	disconnectedAt time.Duration
 
+	// evacuationLogger logs evacuations that begin and end. Entries and agents do that themselves,
+	// where they act on it.
+	evacuationLogger *zap.Logger
+
 	mu        sync.Mutex
 	listeners []func(*View)
 }
@@ -87,7 +93,11 @@
 // NewWatcher returns a Watcher. Run starts it.
 func NewWatcher(options WatcherOptions) *Watcher {
 	w := &Watcher{options: options, memberDomains: map[string]string{}, failedAt: map[string]time.Duration{},
-		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
+		rng: rand.New(rand.NewSource(time.Now().UnixNano())), evacuationLogger: zap.NewNop(),
+		startedAt: SinceBoot()}
+	if options.LeaderOnly {
+		w.evacuationLogger = options.Logger
+	}
 	w.view.Store(&View{})
 	return w
 }
@@ -213,7 +223,8 @@
 	}
 	request := &WatchRequest{Version: v.Version, List: v.listStamp, Wait: wait, Lazy: w.options.Lazy, Entry: w.options.Entry,
 		LeaderOnly: w.options.LeaderOnly, WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision,
-		WantsLimits: true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
+		AcceptsUnconfirmed: SinceBoot()-w.startedAt > unconfirmedHold,
+		WantsLimits:        true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
 		WantsStandings: true, Standings: v.standingsStamp}
 	if v.Table == nil {
 		request.Version = 0
@@ -302,7 +313,7 @@
 			changed = true
 		}
 	}
-	if next.applyEvacuations(reply, SinceBoot(), w.options.Logger) {
+	if next.applyEvacuations(reply, SinceBoot(), w.evacuationLogger) {
 		changed = true
 	}
 	if reply.HasLimits {
