Let permits keep bounds over any window

Cold servers crash above a rate times an overage plus a slack in any second. The allocator of permits keeps limits over windows of 4 s with half as much again and 5 requests more, where the rate of its token bucket is enough.

An allocator now has a bound: window, overage and slack. For a short window it also counts permits: those granted within the window, the lifetime of a permit and the time of a request on its way never exceed the bound. After a change of the allocator, what its predecessor may have granted counts as well. The zero bound is that of the limits that servers name, whose terms are unchanged.

--- a/core/serverlimit/allocator.go
+++ b/core/serverlimit/allocator.go
@@ -32,6 +32,9 @@
 	Want int
 	// Urgent is set for a request that continues a generation.
 	Urgent bool
+	// Cold is set for a permit that the server needs because it is cold, and not because of a
+	// limit that it names.
+	Cold bool
 }
 
 // Reply answers a Request.
@@ -45,11 +48,15 @@
 	RetryIn, SlotIn time.Duration
 	// Askers is the number of entries that ask for permits.
 	Askers int
+	// Lifetime is how long counted permits are valid after they were asked for, 0 for permits
+	// that are not counted, which are valid for PermitLifetime.
+	Lifetime time.Duration
 }
 
 // Allocator grants permits at the rates that backend servers name, in one place for
 // all entries. It is not safe for concurrent use.
 type Allocator struct {
+	bound Bound
 	// grantsFrom is when the permits of the previous allocator have ended.
 	grantsFrom time.Duration
 	servers    map[string]*allocation
@@ -58,9 +65,14 @@
 // allocation is the token bucket of one backend server.
 type allocation struct {
 	known      Observation
+	terms      terms
 	tokens     float64
 	refilledAt time.Duration
 	askers     map[string]asker
+	// grants are the permits granted in the last span, oldest first, if they are counted, and
+	// askedAt is when some were last asked for.
+	grants  []grant
+	askedAt time.Duration
 }
 
 // asker is an entry that asked for permits.
@@ -71,9 +83,16 @@
 	deniedSince time.Duration
 }
 
-// NewAllocator returns an Allocator that grants no permits before grantsFrom.
+// NewAllocator returns an Allocator for the limits that servers name, which grants no permits
+// before grantsFrom.
 func NewAllocator(grantsFrom time.Duration) *Allocator {
-	return &Allocator{grantsFrom: grantsFrom, servers: map[string]*allocation{}}
+	return NewBoundedAllocator(Bound{}, grantsFrom)
+}
+
+// NewBoundedAllocator returns an Allocator that keeps a bound and grants no permits before
+// grantsFrom.
+func NewBoundedAllocator(b Bound, grantsFrom time.Duration) *Allocator {
+	return &Allocator{bound: b, grantsFrom: grantsFrom, servers: map[string]*allocation{}}
 }
 
 // Observe merges an observation of a server and reports whether the known limit
@@ -84,19 +103,24 @@
 		if !o.Limited {
 			return false
 		}
-		a.servers[server] = &allocation{known: o, refilledAt: now, askers: map[string]asker{}}
+		s = &allocation{known: o, terms: a.bound.terms(o.PerSecond), refilledAt: now, askers: map[string]asker{}, askedAt: now}
+		if s.terms.counted {
+			// Entries ask before they send the first request.
+			s.tokens = 1
+		}
+		a.servers[server] = s
 		return true
 	}
 	s.refill(now)
 	merged, changed := s.known.Merge(o)
 	s.known = merged
+	if changed {
+		s.terms = a.bound.terms(merged.PerSecond)
+	}
 	s.tokens = min(s.tokens, s.burst())
 	return changed
 }
 
-// rate returns the rate at which permits are granted.
-func (s *allocation) rate() float64 { return min(max(s.known.PerSecond, MinPerSecond), maxPerSecond) }
-
 // burst returns the number of permits that are kept for entries that ask later. An
 // entry asks only when it has a request, so without them permits would be lost.
 func (s *allocation) burst() float64 {
@@ -108,7 +132,7 @@
 func (s *allocation) debt() float64 { return min(2, s.known.PerSecond) }
 
 func (s *allocation) refill(now time.Duration) {
-	s.tokens = min(s.burst(), s.tokens+s.rate()*(now-s.refilledAt).Seconds())
+	s.tokens = min(s.burst(), s.tokens+s.terms.perSecond*(now-s.refilledAt).Seconds())
 	s.refilledAt = now
 }
 
@@ -133,14 +157,19 @@
 			delete(s.askers, entry)
 		}
 	}
+	s.askedAt = now
 	self := s.askers[r.Entry]
 	self.at = now
 	reply.Askers = len(s.askers)
 	if _, counted := s.askers[r.Entry]; !counted {
 		reply.Askers++
 	}
+	free, freeIn := s.free(now, a.grantsFrom)
 	if now >= a.grantsFrom {
-		reply.Permits = s.grant(r, reply.Askers)
+		reply.Permits = s.grant(now, r, reply.Askers, free)
+	}
+	if s.terms.counted {
+		reply.Lifetime = s.terms.lifetime
 	}
 	if reply.Permits > 0 {
 		self.deniedSince = 0
@@ -151,24 +180,44 @@
 		self.deniedSince = now
 	}
 	s.askers[r.Entry] = self
-	wait := max(time.Duration((1-s.tokens)/s.rate()*float64(time.Second)), a.grantsFrom-now)
-	reply.SlotIn = wait + time.Duration(float64(s.waitingBefore(r.Entry))/s.rate()*float64(time.Second))
-	reply.RetryIn = min(max(reply.SlotIn, minRetryIn), maxRetryIn)
+	wait := max(time.Duration((1-s.tokens)/s.terms.perSecond*float64(time.Second)), a.grantsFrom-now, freeIn)
+	reply.SlotIn = wait + time.Duration(float64(s.waitingBefore(r.Entry))/s.terms.perSecond*float64(time.Second))
+	reply.RetryIn = min(max(reply.SlotIn, s.batchIn(r, reply.Askers), minRetryIn), maxRetryIn)
+	if s.terms.tight {
+		reply.RetryIn = min(max(wait, minRetryIn), maxRetryIn)
+	}
 	return reply, changed
 }
 
-// grant takes permits for a request from the bucket. An entry gets several at once
-// only from a high limit, so that most of them are used before they end.
-func (s *allocation) grant(r Request, askers int) int {
-	share := max(1, int(s.rate()*PermitLifetime.Seconds())/askers)
-	n := min(r.Want, share, max(0, int(s.tokens)))
-	if n == 0 && r.Urgent && s.tokens >= 1-s.debt() {
+// grant takes permits for a request from the bucket, of which free may be granted. An entry
+// gets several at once only from a high limit, so that most of them are used before they end.
+func (s *allocation) grant(now time.Duration, r Request, askers, free int) int {
+	n := min(r.Want, s.share(askers), max(0, int(s.tokens)), free)
+	if n == 0 && r.Urgent && s.tokens >= 1-s.debt() && free > 0 {
 		n = 1
 	}
 	s.tokens -= float64(n)
+	if s.terms.counted && n > 0 {
+		s.grants = append(s.grants, grant{now, n})
+	}
 	return n
 }
 
+// share returns how many permits an entry gets at once at most.
+func (s *allocation) share(askers int) int {
+	return max(1, int(s.terms.perSecond*s.terms.lifetime.Seconds())/askers)
+}
+
+// batchIn returns when the bucket holds about as many permits as an entry wants, so that it
+// does not ask for each of them. A part of the bucket remains free meanwhile.
+func (s *allocation) batchIn(r Request, askers int) time.Duration {
+	if !s.terms.counted {
+		return 0
+	}
+	batch := min(float64(min(r.Want, s.share(askers))), s.burst()/2)
+	return time.Duration((batch - s.tokens) / s.terms.perSecond * float64(time.Second))
+}
+
 // waitingBefore returns the number of entries that have been denied a permit for
 // longer than this one.
 func (s *allocation) waitingBefore(entry string) int {
@@ -182,9 +231,17 @@
 	return n
 }
 
-// Retain forgets the servers that are not listed, and limits that ended long ago.
+// Retain forgets the servers that are not listed, and limits that ended long ago. Servers
+// whose permits are counted are kept until none were asked for a while, because the list may
+// name them again.
 func (a *Allocator) Retain(now time.Duration, listed func(server string) bool) {
 	for name, s := range a.servers {
+		if s.terms.counted {
+			if now-s.askedAt > endedRetention {
+				delete(a.servers, name)
+			}
+			continue
+		}
 		if !listed(name) || !s.known.Limited && now-s.known.ReceivedAt > endedRetention {
 			delete(a.servers, name)
 		}
--- a/core/serverlimit/gate.go
+++ b/core/serverlimit/gate.go
@@ -1,6 +1,9 @@
 package serverlimit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// UnreachablePause is how long an entry asks for no permits after the control
@@ -43,12 +46,14 @@
 	// permits are valid until permitsUntil.
 	permits      int
 	permitsUntil time.Duration
+	// lifetime is that of the last permits.
+	lifetime time.Duration
 	// askAfter is when to ask again after a denial, slotAt when a refused caller may
 	// expect a permit.
 	askAfter, slotAt time.Duration
 	askers           int
-	// demand counts the requests since demandFrom, lastDemand those of the
-	// PermitLifetime before.
+	// demand counts the requests since demandFrom, lastDemand those of the lifetime of
+	// permits before.
 	demandFrom         time.Duration
 	demand, lastDemand int
 }
@@ -74,7 +79,7 @@
 		if !o.Limited {
 			return false
 		}
-		g.servers[server] = &gateServer{known: o, askers: 1}
+		g.servers[server] = &gateServer{known: o, askers: 1, lifetime: PermitLifetime}
 		return true
 	}
 	merged, changed := s.known.Merge(o)
@@ -105,9 +110,9 @@
 }
 
 func (s *gateServer) countDemand(now time.Duration) {
-	if passed := now - s.demandFrom; passed >= PermitLifetime {
+	if passed := now - s.demandFrom; passed >= s.lifetime {
 		s.lastDemand = s.demand
-		if passed >= 2*PermitLifetime {
+		if passed >= 2*s.lifetime {
 			s.lastDemand = 0
 		}
 		s.demand, s.demandFrom = 0, now
@@ -137,15 +142,29 @@
 	if s == nil || r.Known != nil && !r.Known.Limited {
 		return true
 	}
-	s.askers = max(1, r.Askers)
-	if r.Permits > 0 && now < askedAt+PermitLifetime {
-		s.permits, s.permitsUntil, s.askAfter = r.Permits-1, askedAt+PermitLifetime, 0
+	s.askers, s.lifetime = max(1, r.Askers), cmp.Or(r.Lifetime, s.lifetime)
+	if r.Permits > 0 && now < askedAt+s.lifetime {
+		until := askedAt + s.lifetime
+		if r.Lifetime > 0 && s.permits > 0 && now < s.permitsUntil {
+			// Another request of this entry got permits meanwhile.
+			r.Permits, until = r.Permits+s.permits, min(until, s.permitsUntil)
+		}
+		s.permits, s.permitsUntil, s.askAfter = r.Permits-1, until, 0
 		return true
 	}
 	s.askAfter, s.slotAt = now+r.RetryIn, now+r.SlotIn
 	return false
 }
 
+// PermitUntil returns when the permits of a server end that Take and Replied use, 0 if it
+// needs none.
+func (g *Gate) PermitUntil(server string) time.Duration {
+	if s := g.servers[server]; s != nil && s.known.Limited {
+		return s.permitsUntil
+	}
+	return 0
+}
+
 // Unreachable records that the control group did not answer.
 func (g *Gate) Unreachable(now time.Duration) { g.unreachableUntil = now + UnreachablePause }
 
--- a/core/serverlimit/simulation_test.go
+++ b/core/serverlimit/simulation_test.go
@@ -41,6 +41,8 @@
 
 // simulation runs entries before servers of one service on virtual time.
 type simulation struct {
+	// cold is the bound of the first server, which is cold, nil if servers name limits.
+	cold      *Bound
 	rng       *rand.Rand
 	now       time.Duration
 	events    eventQueue
@@ -173,8 +175,14 @@
 			allocator = s.deposed
 		}
 		s.asks++
+		if s.cold != nil {
+			allocator.Observe(s.now, server.name, Observation{Limited: true, PerSecond: r.Known.PerSecond, SentAt: s.now, ReceivedAt: s.now})
+			r.Known = nil
+		}
 		reply, _ := allocator.Acquire(s.now, r)
-		s.publish()
+		if s.cold == nil {
+			s.publish()
+		}
 		s.after(s.delay(4), func() {
 			if reply.Known != nil {
 				e.gate.Observe(server.name, reply.Known.At(asked))
@@ -196,6 +204,10 @@
 		if at, told := e.toldAt[server.name]; told && sent >= at+learnTime {
 			server.told = append(server.told, s.now)
 		}
+		if s.cold != nil {
+			s.served++
+			return
+		}
 		statedAfter := s.delay(30)
 		s.after(statedAfter, func() {
 			statement := Observation{Limited: server.limit >= 0, PerSecond: max(0, server.limit), SentAt: sent}
@@ -258,16 +270,24 @@
 	s.servers[server].limit, s.servers[server].named = limit, s.now
 }
 
+// newAllocator returns an allocator that grants nothing before a time.
+func (s *simulation) newAllocator(grantsFrom time.Duration) *Allocator {
+	if s.cold != nil {
+		return NewBoundedAllocator(*s.cold, grantsFrom)
+	}
+	return NewAllocator(grantsFrom)
+}
+
 // loseAllocator replaces the allocator after a time. The next one knows nothing.
 func (s *simulation) loseAllocator(downFor time.Duration) {
 	s.down = true
-	s.after(downFor, func() { s.down, s.allocator = false, NewAllocator(s.now+handover) })
+	s.after(downFor, func() { s.down, s.allocator = false, s.newAllocator(s.now+handover) })
 }
 
 // replaceAllocator lets every other entry ask the previous allocator until its lease
 // ends.
 func (s *simulation) replaceAllocator() {
-	s.deposed, s.allocator = s.allocator, NewAllocator(s.now+handover)
+	s.deposed, s.allocator = s.allocator, s.newAllocator(s.now+handover)
 	for i, e := range s.entries {
 		e.asksDeposed = i%2 == 0
 	}
