--- a/core/desired/state.go
+++ b/core/desired/state.go
@@ -74,6 +74,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
+	// ColdStart is how long a server is cold after its start, and ColdPerSecond the rate of
+	// requests from all entries together that a cold server bears, 0 for no bound.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
