Grant permits for cold servers and publish until when they are cold

The control leader marks servers as cold that the platform's list shows as cold, and for the time of a cold start those that are new or started again since the previous list. The leader grants permits for cold servers from an allocator with the bound of the settings. A request names the rate instead of a limit, so that a leader of an earlier version grants nothing and learns no limit.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -18,9 +18,12 @@
 	Slots         int
 	// Leaving is set if the server accepts no new requests.
 	Leaving bool
-	// ColdFor is the remaining time during which the server is slow after its
-	// start.
+	// ColdFor is the remaining time during which the server is cold, in the platform's list and
+	// between hosts.
 	ColdFor time.Duration
+	// ColdUntil is the end of that time, as time since boot of the host that holds it, 0 for a
+	// server that is not cold.
+	ColdUntil time.Duration
 	// StartedAt is when the server's process started, in Unix milliseconds of the platform's
 	// clock, 0 if unknown.
 	StartedAt int64
--- /dev/null
+++ b/core/backend/cold_test.go
@@ -0,0 +1,48 @@
+package backend
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a server that just started and counts as warm because the list lags, against
+// all servers of a deployment that count as cold when its list is read for the first time, and
+// against services without a bound whose servers count as cold.
+func TestMarkCold(t *testing.T) {
+	const now, s = time.Hour, time.Second
+	coldStart := func(service string) (time.Duration, bool) {
+		if service == "no start" {
+			return 0, true
+		}
+		return s, service == "bounded"
+	}
+	server := func(id string, startedAt int64, coldFor, coldUntil time.Duration) Server {
+		return Server{ID: id, Service: "bounded", StartedAt: startedAt, ColdFor: coldFor, ColdUntil: coldUntil}
+	}
+	for _, c := range []struct {
+		name     string
+		listed   Server
+		previous []Server
+		first    bool
+		want     time.Duration
+	}{
+		{"new", server("a", 0, 0, 0), nil, false, now + s},
+		{"new, as the list shows", server("a", 0, 300, 0), nil, false, now + 300},
+		{"new in the first list", server("a", 0, 0, 0), nil, true, 0},
+		{"shown in the first list", server("a", 0, 300, 0), nil, true, now + 300},
+		{"started again", server("a", 9, 0, 0), []Server{server("a", 8, 0, 0)}, false, now + s},
+		{"the same start", server("a", 9, 0, 0), []Server{server("a", 9, 0, 0)}, false, 0},
+		{"still cold", server("a", 9, 0, 0), []Server{server("a", 9, 0, now+1)}, false, now + 1},
+		{"cold time over", server("a", 9, 0, 0), []Server{server("a", 9, 0, now)}, false, 0},
+		{"the list shows less", server("a", 9, 200, 0), []Server{server("a", 9, 0, now+s)}, false, now + 200},
+		{"cold again", server("a", 9, 2*s, 0), []Server{server("a", 9, 0, 0)}, false, now + 2*s},
+		{"bound without a cold start", Server{ID: "a", Service: "no start"}, nil, false, now},
+		{"bound without a cold start, as the list shows", Server{ID: "a", Service: "no start", ColdFor: s}, nil, false, now + s},
+		{"no bound", Server{ID: "a", Service: "other", ColdFor: s}, nil, false, 0},
+	} {
+		got := MarkCold(now, []Server{c.listed}, c.previous, c.first, coldStart)
+		if got[0].ColdUntil != c.want || got[0].ColdFor != 0 {
+			t.Errorf("%s: cold until %v, for %v, want until %v", c.name, got[0].ColdUntil, got[0].ColdFor, c.want)
+		}
+	}
+}
--- a/core/serverlimit/allocator.go
+++ b/core/serverlimit/allocator.go
@@ -32,9 +32,10 @@
 	Want int
 	// Urgent is set for a request that continues a generation.
 	Urgent bool
-	// Cold is set for a permit that the server needs because it is cold, and not because of a
-	// limit that it names.
-	Cold bool
+	// ColdPerSecond is set for a permit that the server needs because it is cold, and not because
+	// of a limit that it names: the rate that the entry knows. Known is nil then, so that members
+	// of earlier versions grant nothing instead of learning a limit.
+	ColdPerSecond float64
 }
 
 // Reply answers a Request.
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -10,6 +10,8 @@
 
 	"arbutusmast.example/arbutusmast/control"
 	"arbutusmast.example/arbutusmast/core/consensus"
+	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
@@ -67,13 +69,15 @@
 	// RetryWindow beyond a share of their requests.
 	RetrySlack  float64
 	RetryWindow time.Duration
-	Codec       Codec
-	Directory   Directory
-	Pool        *wire.Pool
-	Dial        wire.Dialer
-	Server      *wire.Server
-	Logger      *zap.Logger
-	Metrics     *observe.Metrics
+	// ColdBound bounds the requests to cold servers, if its window is not 0.
+	ColdBound serverlimit.Bound
+	Codec     Codec
+	Directory Directory
+	Pool      *wire.Pool
+	Dial      wire.Dialer
+	Server    *wire.Server
+	Logger    *zap.Logger
+	Metrics   *observe.Metrics
 }
 
 // Control is one member of the control group, or on a host without a disk a proxy that
@@ -87,7 +91,9 @@
 	standings    *standingTable
 	retries      *retryGrants
 	watcher      *Watcher
-	node         atomic.Pointer[control.Node]
+	// table is the desired state that was last decoded for cold servers.
+	table atomic.Pointer[desired.Table]
+	node  atomic.Pointer[control.Node]
 	// confirmed is the time since boot at which the last successful confirmation by
 	// a quorum started, 0 before the first.
 	confirmed atomic.Int64
@@ -146,7 +152,10 @@
 func NewControl(options ControlOptions) (*Control, error) {
 	c := &Control{options: options, servers: newServerList(options.Address + "/" + newNonce()),
 		nonces: map[string]consensus.MemberID{}}
-	c.limits = &limitTable{source: c.servers.source, notify: c.servers.notify}
+	c.limits = &limitTable{source: c.servers.source, notify: c.servers.notify, coldBound: options.ColdBound}
+	if options.ColdBound.Window > 0 {
+		c.servers.coldStart = c.coldStart
+	}
 	c.parts = &partTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.standings = &standingTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.retries = &retryGrants{slack: options.RetrySlack, window: options.RetryWindow}
@@ -338,6 +347,10 @@
 			return
 		}
 		c.metrics.listReads.Add(1)
+		if c.servers.coldStart != nil {
+			// A new desired state is decoded here and not while the list is locked.
+			c.declaredService("")
+		}
 		c.servers.setServers(servers, start)
 		c.standings.setServers(servers)
 		ids := make(map[string]bool, len(servers))
--- a/fleet/fallback.go
+++ b/fleet/fallback.go
@@ -63,6 +63,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := *w.view.Load()
+	servers = backend.MarkCold(SinceBoot(), servers, next.Servers, next.Servers == nil, next.coldStart)
 	if failureDomain == "" {
 		if !storeMax(&w.listRead, readAt) {
 			return
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -39,6 +39,9 @@
 	// another leader may have granted permits between two terms.
 	allocator *serverlimit.Allocator
 	term      uint64
+	// cold allocates permits for servers that are cold, like allocator, within coldBound.
+	cold      *serverlimit.Allocator
+	coldBound serverlimit.Bound
 }
 
 // lead makes this member the allocator of a term. Before its first grant, the
@@ -50,6 +53,7 @@
 		return
 	}
 	l.allocator, l.term = serverlimit.NewAllocator(now+maxConfirmationAge), term
+	l.cold = serverlimit.NewBoundedAllocator(l.coldBound, now+maxConfirmationAge)
 	for server, o := range l.known {
 		l.allocator.Observe(now, server, o)
 	}
@@ -78,6 +82,7 @@
 		return
 	}
 	l.allocator.Retain(now, listed)
+	l.cold.Retain(now, listed)
 	if len(l.allocator.Known()) != len(l.known) {
 		l.publishLocked()
 	}
@@ -94,7 +99,7 @@
 func (l *limitTable) copyFrom(v *View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.allocator = nil
+	l.allocator, l.cold = nil, nil
 	if v.limitsStamp == l.stamp || v.limitsStamp == (Stamp{}) {
 		return
 	}
@@ -142,9 +147,11 @@
 	now := SinceBoot()
 	c.limits.lead(now, term)
 	c.metrics.permitRequests.Add(1)
-	if reply.Reply, reply.Decided = c.limits.acquire(now, request.Request); !reply.Decided {
-		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "this member does not lead any more"))
+	granted, err := c.acquire(now, request.Request)
+	if err != nil {
+		return err
 	}
+	reply.Reply, reply.Decided = granted, true
 	c.metrics.permits.Add(int64(reply.Reply.Permits))
 	return nil
 }
--- a/fleet/serverlist.go
+++ b/fleet/serverlist.go
@@ -39,6 +39,8 @@
 	suspects      *quarantine.Table
 	quarantined   []message.Quarantine
 	quarantinedAt time.Duration
+	// coldStart is nil if the deployment has no bound for cold servers.
+	coldStart backend.ColdStart
 	// loadsChanged is set if loads changed after the last publication.
 	loadsChanged bool
 	// change is closed and replaced at each change.
@@ -56,10 +58,13 @@
 		servers: newChangeLog(sameServer), loads: newChangeLog(SameLoad)}
 }
 
-// sameServer reports whether two states of a server differ only in how long it stays slow,
-// which changes all the time.
+// sameServer reports whether the difference of two states of a server does not matter. The list
+// gives the remaining time in which a server is cold, whose end differs a little with each read.
 func sameServer(a, b backend.Server) bool {
 	a.ColdFor = b.ColdFor
+	if a.ColdUntil != 0 && b.ColdUntil != 0 && (a.ColdUntil-b.ColdUntil).Abs() <= coldTolerance {
+		a.ColdUntil = b.ColdUntil
+	}
 	return a == b
 }
 
@@ -180,6 +185,9 @@
 		}
 	}
 	first := !l.loaded
+	if l.coldStart != nil {
+		servers = backend.MarkCold(SinceBoot(), servers, l.listed, first, l.coldStart)
+	}
 	l.loaded, l.readAt, l.listed = true, readAt, servers
 	l.publishServersLocked(first)
 }
@@ -262,7 +270,7 @@
 		if reply.AllServers = known.Source == "" || !complete; reply.AllServers {
 			changed, removed = l.servers.all(), nil
 		}
-		reply.Servers, reply.RemovedServers = changed, removed
+		reply.Servers, reply.RemovedServers = coldForOthers(changed, now), removed
 		reply.Quarantine = ageQuarantined(l.quarantined, now-l.quarantinedAt)
 	}
 	if request.Lazy && request.Wait > 0 {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, server := range reply.Servers {
-		byID[server.ID] = server
+		byID[server.ID] = coldHere(server)
 	}
 	for _, id := range reply.RemovedServers {
 		delete(byID, id)
