Send cold servers only the requests that have permits

A cold server crashes above its bound over all entries. An entry now needs a permit for each request to a server that is cold by the list, or whose failure domain's evacuation ended within the time of a cold start; a server that also names a limit needs both permits. The limiter for named limits serves both, with a gate each. Right before a request is sent, the entry checks that its permit has not ended; else the request is placed again. Agents move generations to cold servers only if there are no others. There are no calls for servers that are not cold.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -192,7 +192,8 @@
 		Regions:         failuredomain.NewMap(s.Regions),
 		MaxConfirmedAge: time.Duration(float64(s.MaxRevocationDelay) * confirmedAgeRatio),
 		RetryRatio:      s.RetryRatio * retryRatioFactor, RetryGrants: watcher,
-		RetryWindow: s.RetryWindow, EvacuationBound: s.EvacuationBound, Logger: d.logger, Metrics: d.metrics,
+		RetryWindow: s.RetryWindow, EvacuationBound: s.EvacuationBound,
+		BoundsColdServers: s.ColdBound().Window > 0, Logger: d.logger, Metrics: d.metrics,
 	})
 	listener, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
@@ -248,7 +249,7 @@
 	control, err := fleet.NewControl(fleet.ControlOptions{
 		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: d.seeds,
 		Bootstrap: s.FirstStart, MinVoters: roster.MinVoters(s.ToleratedLosses, s.ToleratedDomains),
-		RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, ColdBound: s.ColdBound(),
 		Codec: platform.Codec{}, Directory: listClient(s, leaderListShare, false, d.logger), Pool: d.pool, Dial: d.dial,
 		Server: server, Logger: d.logger, Metrics: d.metrics,
 	})
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -265,8 +265,8 @@
 }
 
 // destinations returns the servers that could take generations. A generation that
-// continues at a server counts against the server's limit, so servers with limits are
-// used only if there are no others. The caller must hold a.mu.
+// continues at a server counts against the server's limit, or its bound while it is cold, so
+// servers with limits and cold ones are used only if there are no others. The caller must hold a.mu.
 func (a *Agent) destinations() []evacuation.Destination {
 	var list, limited []evacuation.Destination
 	v := a.options.Fleet.View()
@@ -282,7 +282,7 @@
 			d.FreeSlots -= report.Load.Running
 			d.FreeTokens = report.Load.TotalTokens - report.Load.UsedTokens
 		}
-		if v.Limits[server.ID].Limited {
+		if v.Limits[server.ID].Limited || server.ColdUntil > fleet.SinceBoot() {
 			limited = append(limited, d)
 			continue
 		}
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -290,3 +290,20 @@
 		}
 	}
 }
+
+// Guards against generations that are moved to a cold server, which bears few requests, while
+// another one is warm.
+func TestColdServersAreTheLastDestinations(t *testing.T) {
+	a, _ := newAgent(t, &testEngine{copied: map[string]int{}})
+	view := a.options.Fleet.View()
+	for i := range view.Servers {
+		if view.Servers[i].ID == "near" {
+			view.Servers[i].ColdUntil = fleet.SinceBoot() + time.Hour
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if got := a.destinations(); len(got) != 1 || got[0].Address != "far" {
+		t.Errorf("destinations %v", got)
+	}
+}
--- /dev/null
+++ b/gateway/cold.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
+	"arbutusmast.example/arbutusmast/core/verdict"
+	"arbutusmast.example/arbutusmast/fleet"
+	"github.com/pkg/errors"
+)
+
+// errPermitEnded is returned for a request that is not sent, because its permit ended before
+// the connection to the server was established.
+var errPermitEnded = errors.New("the permit ended before the request was sent")
+
+// coldTimes holds until when servers are cold.
+type coldTimes struct {
+	// until holds the servers that are cold.
+	until map[string]time.Duration
+	// evacuations are those of the last view. assumed holds until when servers count as cold
+	// because the evacuation of their failure domain ended.
+	evacuations map[string]time.Duration
+	assumed     map[string]time.Duration
+}
+
+// newColdLimiter returns the limiter for servers that are cold.
+func newColdLimiter(options *Options) *limiter {
+	l := &limiter{source: options.Permits, entry: options.Name, logger: options.Logger, gate: serverlimit.NewGate(),
+		servers: map[string]*limitedServer{}, metrics: limitMetrics{
+			limitedServers: options.Metrics.Counters("gateway_cold_servers_count", maxServices),
+			refused:        options.Metrics.Counters("gateway_cold_refused_total", maxServices),
+			permitRequests: options.Metrics.Counter("gateway_cold_permit_requests_total"),
+		}}
+	l.cold = &coldTimes{until: map[string]time.Duration{}, assumed: map[string]time.Duration{}}
+	if !options.BoundsColdServers {
+		l.source = nil
+	}
+	return l
+}
+
+// endCold forgets the servers that are not cold any more. The caller holds l.mu.
+func (l *limiter) endCold(now time.Duration) {
+	if l.cold == nil || len(l.cold.until) == 0 {
+		return
+	}
+	ended := false
+	for id, until := range l.cold.until {
+		if until > now {
+			continue
+		}
+		if server := l.servers[id]; server != nil {
+			l.merge(id, server.service, serverlimit.Observation{SentAt: now, ReceivedAt: now}, fromCold)
+		}
+		delete(l.cold.until, id)
+		delete(l.servers, id)
+		ended = true
+	}
+	if ended {
+		l.gate.Retain(func(id string) bool { return l.servers[id] != nil })
+	}
+}
+
+// updateCold learns from a view which servers are cold.
+func (l *limiter) updateCold(v *fleet.View) {
+	if l.source == nil || v.Table == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, c := fleet.SinceBoot(), l.cold
+	for id, until := range c.assumed {
+		if until <= now {
+			delete(c.assumed, id)
+		}
+	}
+	cold := map[string]time.Duration{}
+	for _, server := range v.Servers {
+		service := v.Table.Service(server.Service)
+		if service == nil || service.ColdPerSecond <= 0 {
+			continue
+		}
+		if _, was := c.evacuations[server.FailureDomain]; was && !v.IsEvacuated(server.FailureDomain) {
+			c.assumed[server.ID] = now + service.ColdStart
+		}
+		until := max(server.ColdUntil, c.assumed[server.ID])
+		if until <= now {
+			continue
+		}
+		cold[server.ID] = until
+		l.merge(server.ID, server.Service, serverlimit.Observation{Limited: true, PerSecond: service.ColdPerSecond,
+			SentAt: now, ReceivedAt: now}, fromCold)
+	}
+	for id := range c.until {
+		if cold[id] == 0 {
+			cold[id] = now
+		}
+	}
+	c.until, c.evacuations = cold, v.Evacuations
+	l.endCold(now)
+}
+
+// permit reports whether the request may be sent to a server, and whether the server has a
+// limit or is cold. A cold server with a limit needs a permit for each.
+func (x *exchange) permit(ctx context.Context, server backend.Server) (permitted, limited bool) {
+	x.permitUntil = 0
+	permitted, limited, _ = x.g.limits.permit(ctx, server, false)
+	if !permitted {
+		return false, limited
+	}
+	permitted, cold, until := x.g.cold.permit(ctx, server, false)
+	x.permitUntil = until
+	return permitted, limited || cold
+}
+
+// permitResume waits until a generation may continue at a server, and returns how long the
+// permit is valid, 0 for any time.
+func (x *exchange) permitResume(ctx context.Context, server backend.Server) (until time.Duration, err error) {
+	if _, ok := x.g.limits.permitResume(ctx, server); !ok {
+		return 0, errors.New("the limit of the server with the copy is used up")
+	}
+	until, ok := x.g.cold.permitResume(ctx, server)
+	if !ok {
+		return 0, errors.New("the server with the copy is cold, and its permits are used up")
+	}
+	return until, nil
+}
+
+// limited returns those of the servers that have a limit.
+func (l *limiter) limited(ids []string) (list []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		if known, _ := l.gate.Known(id); known.Limited {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// refuseLimited refuses the request because the limits of servers are used up, or those of
+// servers that are cold.
+func (x *exchange) refuseLimited() {
+	g := x.g
+	g.metrics.refused.Add(1)
+	text, limiter, ids := "the limits of the backend servers are used up", g.limits, x.limitedServers
+	if cold := g.cold.limited(ids); len(cold) > 0 && len(g.limits.limited(ids)) == 0 {
+		text, limiter, ids = "the backend servers are cold and get no more requests now", g.cold, cold
+	}
+	retryAfter, fields := limiter.refusal(x.service, ids, g.random())
+	x.fail(http.StatusServiceUnavailable, verdict.NotRun, text, verdict.ReasonOverloaded, retryAfter, fields...)
+}
--- /dev/null
+++ b/gateway/cold_test.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/desired"
+	"arbutusmast.example/arbutusmast/core/dispatch"
+	"arbutusmast.example/arbutusmast/core/serverlimit"
+	"arbutusmast.example/arbutusmast/fleet"
+	"github.com/pkg/errors"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// newColdHarness returns a harness before two servers in failure domains d0 and d1, whose
+// service has a bound for cold servers, and the log.
+func newColdHarness(t *testing.T, permits *testPermits, limit func() string) (*harness, []*testServer, *observer.ObservedLogs) {
+	h, servers, logs := newLimitHarness(t, permits, limit, 2)
+	h.gateway.cold.source, h.gateway.cold.logger = permits, h.gateway.logger
+	placeInDomains(h)
+	h.fleet.set(func(f *testFleet) {
+		state := *f.view.Table.State
+		state.Services = []desired.Service{{Name: "s", ColdStart: 300 * time.Millisecond, ColdPerSecond: 5}}
+		view := *f.view
+		view.Table = desired.NewTable(&state)
+		f.view = &view
+	})
+	return h, servers, logs
+}
+
+// setCold makes servers cold for a time.
+func setCold(h *harness, d time.Duration, ids ...string) {
+	h.fleet.set(func(f *testFleet) {
+		view := *f.view
+		view.Servers = append([]backend.Server(nil), view.Servers...)
+		for i := range view.Servers {
+			view.Servers[i].ColdUntil = 0
+			for _, id := range ids {
+				if view.Servers[i].ID == id {
+					view.Servers[i].ColdUntil = fleet.SinceBoot() + d
+				}
+			}
+		}
+		f.view = &view
+	})
+}
+
+func noLimit() string { return "" }
+
+// asks returns how often permits were asked for.
+func (p *testPermits) asks() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
+
+// Guards against a cold server that gets requests without permits, against requests that are
+// refused while another server has room, and against calls to the control group for servers
+// that are not cold, also after they were.
+func TestColdServerGetsPermittedRequests(t *testing.T) {
+	permits := &testPermits{left: 3}
+	h, servers, logs := newColdHarness(t, permits, noLimit)
+	expectCalls(t, h, servers, 20, func(n []int64) bool { return n[0] > 0 && n[1] > 0 })
+	if n := permits.asks(); n > 0 {
+		t.Errorf("%d requests for permits for servers that are not cold", n)
+	}
+	setCold(h, time.Hour, "i-0")
+	expectCalls(t, h, servers, 40, func(n []int64) bool { return n[0] <= 3 && n[0]+n[1] == 40 })
+	if got := h.gateway.cold.metrics.limitedServers.String(); got != `{"s":1}` {
+		t.Errorf("cold servers: %s", got)
+	}
+	setCold(h, 0)
+	asked := permits.asks()
+	expectCalls(t, h, servers, 40, func(n []int64) bool { return n[0] > 3 && n[1] > 0 })
+	setCold(h, 20*time.Millisecond, "i-0")
+	time.Sleep(30 * time.Millisecond)
+	expectCalls(t, h, servers, 40, func(n []int64) bool { return n[0] > 3 && n[1] > 0 })
+	if n := permits.asks(); n != asked {
+		t.Errorf("%d requests for permits after the end of the cold time", n-asked)
+	}
+	if got := h.gateway.cold.metrics.limitedServers.String(); got != `{"s":0}` {
+		t.Errorf("cold servers: %s", got)
+	}
+	for _, message := range []string{"learned", "ended"} {
+		lines := logs.FilterMessage("limit of a backend server " + message).All()
+		if len(lines) != 2 || lines[0].ContextMap()["limit_source"] != "cold" {
+			t.Errorf("%s: %v", message, lines)
+		}
+	}
+}
+
+// Guards against refusals because all servers are cold that are held, are not marked as not
+// run, or have no time to return; and against requests to cold servers without the control group.
+func TestAllServersCold(t *testing.T) {
+	for _, err := range []error{nil, errors.New("no leader is known")} {
+		permits := &testPermits{err: err}
+		h, servers, logs := newColdHarness(t, permits, noLimit)
+		setCold(h, time.Hour, "i-0", "i-1")
+		status, header, body, callErr := h.call("/once/x")
+		seconds, parseErr := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		if callErr != nil || status != 503 || header.Get(verdictHeader) != "not_run" || parseErr != nil || seconds <= 0 ||
+			seconds > 10 || !strings.Contains(body, "the backend servers are cold") {
+			t.Errorf("%d %v %q %v", status, header, body, callErr)
+		}
+		if n := servers[0].count.Load() + servers[1].count.Load(); n > 0 {
+			t.Errorf("%d requests arrived", n)
+		}
+		refusals := logs.FilterMessage("request not served").All()
+		if len(refusals) != 1 || refusals[0].ContextMap()["limit_source"] == nil {
+			t.Errorf("refusals logged: %v", refusals)
+		}
+	}
+}
+
+// Guards against servers that get the requests of warm ones when the evacuation of their
+// failure domain ends, before the list can show that they are cold.
+func TestServersAreColdAfterAnEvacuation(t *testing.T) {
+	permits := &testPermits{left: 2}
+	h, servers, _ := newColdHarness(t, permits, noLimit)
+	evacuate(h, 0, "d0")
+	evacuate(h, 0)
+	expectCalls(t, h, servers, 30, func(n []int64) bool { return n[0] <= 2 })
+	time.Sleep(300 * time.Millisecond)
+	expectCalls(t, h, servers, 30, func(n []int64) bool { return n[0] > 2 })
+}
+
+// Guards against a cold server with a limit that gets requests with a permit for only one of
+// the two.
+func TestColdServerWithLimitNeedsBothPermits(t *testing.T) {
+	permits := &testPermits{}
+	h, servers, _ := newColdHarness(t, permits, func() string { return "5" })
+	expectCalls(t, h, servers[:1], 1, func([]int64) bool { return true })
+	h.fleet.set(func(f *testFleet) {
+		view := *f.view
+		now := fleet.SinceBoot()
+		named := serverlimit.Observation{Limited: true, PerSecond: 5, SentAt: now, ReceivedAt: now}
+		view.Limits = map[string]serverlimit.Observation{"i-0": named, "i-1": named}
+		f.view = &view
+	})
+	setCold(h, time.Hour, "i-0", "i-1")
+	arrived := servers[0].count.Load() + servers[1].count.Load()
+	for _, granted := range []bool{true, false} {
+		permits.mu.Lock()
+		permits.onAsk = func(r serverlimit.Request, reply *serverlimit.Reply) {
+			reply.Permits = 0
+			if (r.ColdPerSecond > 0) == granted {
+				reply.Permits = 1
+			}
+		}
+		permits.mu.Unlock()
+		if status, _, body, err := h.call("/once/x"); err != nil || status != 503 {
+			t.Errorf("permits for cold servers only: %v: %d %q %v", granted, status, body, err)
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	if n := servers[0].count.Load() + servers[1].count.Load(); n != arrived {
+		t.Errorf("%d requests arrived with one of two permits", n-arrived)
+	}
+	permits.mu.Lock()
+	permits.onAsk = func(_ serverlimit.Request, reply *serverlimit.Reply) { reply.Permits = 1 }
+	permits.mu.Unlock()
+	if status, _, body, err := h.call("/once/x"); err != nil || status != 200 {
+		t.Errorf("both permits: %d %q %v", status, body, err)
+	}
+}
+
+// Guards against a request that is sent after its permit ended, as after a suspension.
+func TestNothingIsSentAfterThePermit(t *testing.T) {
+	server := newTestServer(t, echo)
+	h := newHarness(t, nil, server)
+	parsed, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET /once/x HTTP/1.1\r\nHost: h.example\r\nT-Id: a\r\n\r\n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := h.fleet.View().Servers[0]
+	for _, c := range []struct {
+		until time.Duration
+		sent  bool
+	}{{fleet.SinceBoot() - 1, false}, {0, true}, {fleet.SinceBoot() + time.Hour, true}} {
+		before := server.count.Load()
+		u, result, err := h.gateway.send(context.Background(), target, &request{Request: parsed}, ForwardMetadata{}, c.until)
+		u.discard()
+		if c.sent != (err == nil) || c.sent != (server.count.Load() > before) ||
+			!c.sent && (result != dispatch.NotSent || !errors.Is(err, errPermitEnded)) {
+			t.Errorf("permit until %v: %v %v", c.until, result, err)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,6 +147,9 @@
 	// RetryGrants hands out the slack that all entries share. It may be nil.
 	RetryGrants RetryGranter
 	RetryWindow time.Duration
+	// BoundsColdServers is set if cold servers get only the requests for which the control
+	// group grants permits.
+	BoundsColdServers bool
 	// EvacuationBound is the time in which the evacuation of a failure domain has to be in
 	// force after it was acknowledged, 0 if unknown.
 	EvacuationBound time.Duration
@@ -164,6 +167,7 @@
 	metrics  metrics
 	services serviceSet
 	limits   *limiter
+	cold     *limiter
 	notices  *noticeBoard
 	outcomes *outcomeBoard
 	parts    *partGuard
@@ -191,7 +195,7 @@
 	g.metrics = newMetrics(options.Metrics)
 	g.notices = newNoticeBoard(&options)
 	g.services.init(&options, g.notices)
-	g.limits = newLimiter(&options)
+	g.limits, g.cold = newLimiter(&options), newColdLimiter(&options)
 	g.parts = newPartGuard(&options)
 	g.outcomes = newOutcomeBoard(&options)
 	evacuations := fleet.NewEvacuationLog(options.Logger)
@@ -200,11 +204,14 @@
 	})
 	options.Fleet.OnChange(func(v *fleet.View) {
 		g.notices.update(v)
+		// Servers are known as cold before placement may choose them.
+		g.cold.updateCold(v)
 		g.services.update(g.elapsed(), v)
 		evacuations.Update(v)
 		g.limits.update(v)
 		g.parts.update(v)
 	})
+	g.cold.updateCold(options.Fleet.View())
 	g.services.update(0, options.Fleet.View())
 	return g
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -58,9 +58,11 @@
 	reservation string
 	// probe is the failing server that this request probes, empty for none.
 	probe string
-	// evacuated is set if the last attempt was not sent, because the failure domain of its
-	// server was evacuated.
-	evacuated bool
+	// withheld is set if the last attempt was not sent, because the failure domain of its
+	// server was evacuated or its permit ended.
+	withheld bool
+	// permitUntil is when the permit for a server that is cold ends, 0 if none is needed.
+	permitUntil time.Duration
 	// late waits for the first byte of the last attempt's answer.
 	late *lateWatch
 	// suspect is set if servers crashed while running the request.
@@ -280,7 +282,7 @@
 			x.g.services.avoid(x.g.elapsed(), server.ID)
 		}
 	case dispatch.NotSent:
-		if x.evacuated || x.g.notices.resting(server.ID) {
+		if x.withheld || x.g.notices.resting(server.ID) {
 			outcome = x.outcome(server.ID, placement.NotSent)
 			break
 		}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -27,9 +27,11 @@
 const (
 	fromResponse = "response"
 	fromControl  = "control_group"
+	fromCold     = "cold"
 )
 
-// limiter keeps the requests of this entry to servers with limits below them.
+// limiter keeps the requests of this entry to servers with limits below them. One limiter is
+// for the limits that servers name, and another for the bound of servers that are cold.
 type limiter struct {
 	source  PermitSource
 	entry   string
@@ -41,6 +43,8 @@
 	// servers holds the servers that have or had a limit, and those that named a
 	// malformed one.
 	servers map[string]*limitedServer
+	// cold is nil in the limiter for limits that servers name.
+	cold *coldTimes
 }
 
 // limitedServer is what the limiter logs about one server.
@@ -61,6 +65,7 @@
 // maxServices bounds the number of service labels.
 const maxServices = 64
 
+// newLimiter returns the limiter for limits that servers name.
 func newLimiter(options *Options) *limiter {
 	return &limiter{source: options.Permits, entry: options.Name, logger: options.Logger, gate: serverlimit.NewGate(),
 		servers: map[string]*limitedServer{}, metrics: limitMetrics{
@@ -167,8 +172,10 @@
 	if len(l.servers) == 0 {
 		return nil
 	}
+	now := fleet.SinceBoot()
+	l.endCold(now)
 	var ids []string
-	for _, id := range l.gate.Waiting(fleet.SinceBoot()) {
+	for _, id := range l.gate.Waiting(now) {
 		if l.servers[id].service == service {
 			ids = append(ids, id)
 		}
@@ -176,24 +183,30 @@
 	return ids
 }
 
-// permit reports whether a request may be sent to a server, and whether the server
-// has a limit. It asks for permits if needed.
-func (l *limiter) permit(ctx context.Context, server backend.Server, urgent bool) (permitted, limited bool) {
+// permit reports whether a request may be sent to a server, whether the server has a limit, and
+// if so how long the permit is valid. It asks for permits if needed.
+func (l *limiter) permit(ctx context.Context, server backend.Server, urgent bool) (permitted, limited bool,
+	until time.Duration) {
 	if l.source == nil {
-		return true, false
+		return true, false, 0
 	}
 	id := server.ID
 	l.mu.Lock()
 	now := fleet.SinceBoot()
+	l.endCold(now)
 	decision := l.gate.Take(now, id, urgent)
 	known, _ := l.gate.Known(id)
 	request := l.gate.Request(now, id, urgent)
+	until = l.gate.PermitUntil(id)
 	l.mu.Unlock()
 	if decision != serverlimit.Ask {
-		return decision == serverlimit.Send, known.Limited
+		return decision == serverlimit.Send, known.Limited, until
 	}
 	l.metrics.permitRequests.Add(1)
 	request.Entry = l.entry
+	if l.cold != nil {
+		request.Known, request.ColdPerSecond = nil, known.PerSecond
+	}
 	reply, err := l.source.AcquirePermits(ctx, request)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -202,30 +215,34 @@
 			l.gate.Unreachable(fleet.SinceBoot())
 			l.logger.Info("no permit for a backend server", zap.String("backend_server", id), zap.Error(err))
 		}
-		return false, true
+		return false, true, 0
 	}
-	if reply.Known != nil {
+	if reply.Known != nil && l.cold == nil {
 		// The age is as of when the reply was made, which was after the request.
 		l.merge(id, server.Service, reply.Known.At(now), fromControl)
 	}
 	permitted = l.gate.Replied(now, fleet.SinceBoot(), id, reply)
 	known, _ = l.gate.Known(id)
-	return permitted, known.Limited
+	if reply.Known != nil && !reply.Known.Limited {
+		return permitted, known.Limited, 0
+	}
+	return permitted, known.Limited, l.gate.PermitUntil(id)
 }
 
 // resumePermitTimeout bounds how long a generation that continues at a server with a
 // limit waits for a permit. Callers of streams wait longer for the next event.
 const resumePermitTimeout = time.Second
 
-// permitResume waits until a generation may continue at a server, and returns false
-// if it may not in time.
-func (l *limiter) permitResume(ctx context.Context, server backend.Server) bool {
+// permitResume waits until a generation may continue at a server, and returns how long the
+// permit is valid, and false if there is none in time.
+func (l *limiter) permitResume(ctx context.Context, server backend.Server) (until time.Duration, ok bool) {
 	for start := time.Now(); ; {
-		if permitted, _ := l.permit(ctx, server, true); permitted {
-			return true
+		permitted, _, until := l.permit(ctx, server, true)
+		if permitted {
+			return until, true
 		}
 		if ctx.Err() != nil || time.Since(start) > resumePermitTimeout {
-			return false
+			return 0, false
 		}
 		time.Sleep(resumePermitInterval)
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -41,8 +41,8 @@
 	f.Reservation, x.reservation = reservation, reservation
 	x.sentAt = time.Now()
 	x.late = x.watchLate(server)
-	u, result, err := x.g.send(ctx, server, x.r, f)
-	x.evacuated = errors.Is(err, errEvacuated)
+	u, result, err := x.g.send(ctx, server, x.r, f, x.permitUntil)
+	x.withheld = errors.Is(err, errEvacuated) || errors.Is(err, errPermitEnded)
 	cause := crossingCall
 	if x.route.Kind == desired.Stream {
 		cause = crossingGeneration
@@ -140,7 +140,7 @@
 func (x *exchange) placeUnreserved(ctx context.Context, first backend.Server, query placement.Query) (
 	backend.Server, string, bool) {
 	if x.g.checkEvacuated(first, false) == nil && x.g.notices.admit(first.ID) {
-		if permitted, _ := x.g.limits.permit(ctx, first, false); permitted {
+		if permitted, _ := x.permit(ctx, first); permitted {
 			return first, "", true
 		}
 	}
@@ -166,6 +166,7 @@
 	}
 	for {
 		exclude(&x.limitedServers, slices.DeleteFunc(x.g.limits.waiting(x.service), x.wasTried)...)
+		exclude(&x.limitedServers, slices.DeleteFunc(x.g.cold.waiting(x.service), x.wasTried)...)
 		exclude(&x.restingServers, x.g.notices.waiting(x.service)...)
 		server, ok = x.g.services.choose(x.g.elapsed(), x.service, query)
 		if !ok {
@@ -176,7 +177,7 @@
 			exclude(&x.restingServers, server.ID)
 			continue
 		}
-		permitted, limited := x.g.limits.permit(ctx, server, false)
+		permitted, limited := x.permit(ctx, server)
 		if x.g.checkEvacuated(server, false) != nil {
 			x.reportResult(server.ID, placement.NotSent)
 			query.Exclude = append(query.Exclude, server.ID)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -46,10 +46,7 @@
 		x.refuse("no backend server took the request", verdict.ReasonOverloaded)
 		return
 	}
-	x.g.metrics.refused.Add(1)
-	retryAfter, fields := x.g.limits.refusal(x.service, x.limitedServers, x.g.random())
-	x.fail(http.StatusServiceUnavailable, verdict.NotRun, "the limits of the backend servers are used up",
-		verdict.ReasonOverloaded, retryAfter, fields...)
+	x.refuseLimited()
 }
 
 // refuseForRest refuses the request because servers rest, and reports whether one does.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -233,12 +233,13 @@
 	if !x.g.notices.awaitRest(ctx, server.ID) {
 		return nil, errors.New("the server with the copy asked for rest")
 	}
-	if !x.g.limits.permitResume(ctx, server) {
-		return nil, errors.New("the limit of the server with the copy is used up")
+	permitUntil, err := x.permitResume(ctx, server)
+	if err != nil {
+		return nil, err
 	}
 	f := x.forwardMetadata(server)
 	f.Copy, f.LastEventID, f.Priority = name, lastID, resumedPriority
-	next, result, err := x.g.send(ctx, server, x.r, f)
+	next, result, err := x.g.send(ctx, server, x.r, f, permitUntil)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -102,8 +102,11 @@
 // new connection: on a reused one, a late extra response could be taken for the
 // response to this request, and if the server closed the connection while the request
 // was sent, it would be unknown whether the request ran.
-func (g *Gateway) send(ctx context.Context, server backend.Server, r *request, f ForwardMetadata) (
-	*upstream, dispatch.Result, error) {
+//
+// The request is not sent after permitUntil, if that is not 0. The process may have been
+// suspended, or the connection may have taken long.
+func (g *Gateway) send(ctx context.Context, server backend.Server, r *request, f ForwardMetadata,
+	permitUntil time.Duration) (*upstream, dispatch.Result, error) {
 	dialer := net.Dialer{Timeout: connectTimeout, Control: wire.SocketControl(tcpUserTimeout), KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
@@ -115,7 +118,11 @@
 		_ = conn.SetWriteDeadline(deadline)
 	}
 	request := g.encode(r, f)
-	if err := g.checkEvacuated(server, f.Copy != ""); err != nil {
+	err = g.checkEvacuated(server, f.Copy != "")
+	if err == nil && permitUntil != 0 && fleet.SinceBoot() > permitUntil {
+		err = errPermitEnded
+	}
+	if err != nil {
 		u.close()
 		return nil, dispatch.NotSent, err
 	}
