Count servers that took no connection as cold

A server that starts again quickly under its id is in the list all the time, and the list lags by up to 0.8 s. Until it showed the new start, entries sent the server the requests of a warm one.

An entry now counts a server that took no connection as cold for a cold start, or for the 1.5 s that the list takes to show it.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -21,7 +21,7 @@
 	// until holds the servers that are cold.
 	until map[string]time.Duration
 	// evacuations are those of the last view. assumed holds until when servers count as cold
-	// because the evacuation of their failure domain ended.
+	// because the evacuation of their failure domain ended, or because they took no connection.
 	evacuations map[string]time.Duration
 	assumed     map[string]time.Duration
 }
@@ -102,6 +102,30 @@
 	l.endCold(now)
 }
 
+// maxListDelay is the time after which a server that started again is in the list of this
+// entry: the platform's list lags by up to 0.8 s, and is read and handed out after that.
+const maxListDelay = 1500 * time.Millisecond
+
+// assumeCold makes a server that took no connection count as cold, because it may start again
+// and get requests before the list shows it.
+func (l *limiter) assumeCold(server backend.Server, v *fleet.View) {
+	if l.source == nil || v.Table == nil {
+		return
+	}
+	service := v.Table.Service(server.Service)
+	if service == nil || service.ColdPerSecond <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := fleet.SinceBoot()
+	until := now + max(service.ColdStart, maxListDelay)
+	l.cold.assumed[server.ID] = until
+	l.cold.until[server.ID] = max(until, l.cold.until[server.ID])
+	l.merge(server.ID, server.Service, serverlimit.Observation{Limited: true, PerSecond: service.ColdPerSecond,
+		SentAt: now, ReceivedAt: now}, fromCold)
+}
+
 // permit reports whether the request may be sent to a server, and whether the server has a
 // limit or is cold. A cold server with a limit needs a permit for each.
 func (x *exchange) permit(ctx context.Context, server backend.Server) (permitted, limited bool) {
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -192,3 +193,34 @@
 		}
 	}
 }
+
+// Guards against a server that was down and gets the requests of a warm one when it starts again,
+// before the list shows that it is cold; and against the same for services without a bound.
+func TestServersThatTookNoConnectionCountAsCold(t *testing.T) {
+	for _, bounded := range []bool{true, false} {
+		permits := &testPermits{left: 2}
+		h, servers, _ := newColdHarness(t, permits, noLimit)
+		if !bounded {
+			h.fleet.set(func(f *testFleet) {
+				state := *f.view.Table.State
+				state.Services = []desired.Service{{Name: "s"}}
+				view := *f.view
+				view.Table = desired.NewTable(&state)
+				f.view = &view
+			})
+		}
+		address := servers[0].address
+		_ = servers[0].Close()
+		expectCalls(t, h, servers, 20, func(n []int64) bool { return n[1] == 20 })
+		again := &http.Server{Handler: servers[0].Handler}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = again.Serve(l) }()
+		t.Cleanup(func() { _ = again.Close() })
+		// Placement sets a server that failed back for a while.
+		time.Sleep(500 * time.Millisecond)
+		expectCalls(t, h, servers, 40, func(n []int64) bool { return (n[0] > 2) != bounded })
+	}
+}
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -68,6 +68,7 @@
 			_ = conn.Close()
 			return
 		}
+		x.g.cold.assumeCold(server, x.g.options.Fleet.View())
 		x.g.metrics.serverCrashes.Add(1)
 		x.logger.Info("backend server crashed during the request", zap.String("backend_server", server.ID),
 			zap.String("digest", digest), zap.Error(err))
