Ask for another permit if one ends before a generation continues

A permit that ended while the connection was established lost the generation. The entry now asks again, three times at most. While no server is cold, an entry looks into an empty table only.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/core/verdict"
 	"arbutusmast.example/arbutusmast/fleet"
@@ -152,6 +153,27 @@
 	return until, nil
 }
 
+// maxPermitTries bounds the permits that are asked for because the previous one ended before the
+// connection to the server was established.
+const maxPermitTries = 3
+
+// sendResumed sends a request that continues a generation at a copy, when the server may get it.
+func (x *exchange) sendResumed(ctx context.Context, server backend.Server, copyName, lastEventID string) (
+	*upstream, dispatch.Result, error) {
+	for try := 1; ; try++ {
+		permitUntil, err := x.permitResume(ctx, server)
+		if err != nil {
+			return nil, dispatch.NotSent, err
+		}
+		f := x.forwardMetadata(server)
+		f.Copy, f.LastEventID, f.Priority = copyName, lastEventID, resumedPriority
+		u, result, err := x.g.send(ctx, server, x.r, f, permitUntil)
+		if !errors.Is(err, errPermitEnded) || try == maxPermitTries {
+			return u, result, err
+		}
+	}
+}
+
 // limited returns those of the servers that have a limit.
 func (l *limiter) limited(ids []string) (list []string) {
 	l.mu.Lock()
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -15,7 +15,9 @@
 	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/fleet"
+	"arbutusmast.example/arbutusmast/observe"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 )
 
@@ -224,3 +226,15 @@
 		expectCalls(t, h, servers, 40, func(n []int64) bool { return (n[0] > 2) != bounded })
 	}
 }
+
+// BenchmarkPermitWithoutColdServers measures what the bound of cold servers costs a request
+// while no server is cold: the permit and the list of servers that can get nothing.
+func BenchmarkPermitWithoutColdServers(b *testing.B) {
+	options := Options{Permits: &testPermits{}, BoundsColdServers: true, Logger: zap.NewNop(), Metrics: observe.NewMetrics()}
+	l, server := newColdLimiter(&options), backend.Server{ID: "i-0", Service: "s"}
+	for b.Loop() {
+		if permitted, _, _ := l.permit(context.Background(), server, false); !permitted || l.waiting("s") != nil {
+			b.Fatal("not permitted")
+		}
+	}
+}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -192,6 +192,10 @@
 	}
 	id := server.ID
 	l.mu.Lock()
+	if l.cold != nil && len(l.cold.until) == 0 {
+		l.mu.Unlock()
+		return true, false, 0
+	}
 	now := fleet.SinceBoot()
 	l.endCold(now)
 	decision := l.gate.Take(now, id, urgent)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -233,13 +233,7 @@
 	if !x.g.notices.awaitRest(ctx, server.ID) {
 		return nil, errors.New("the server with the copy asked for rest")
 	}
-	permitUntil, err := x.permitResume(ctx, server)
-	if err != nil {
-		return nil, err
-	}
-	f := x.forwardMetadata(server)
-	f.Copy, f.LastEventID, f.Priority = name, lastID, resumedPriority
-	next, result, err := x.g.send(ctx, server, x.r, f, permitUntil)
+	next, result, err := x.sendResumed(ctx, server, name, lastID)
 	if err != nil {
 		return nil, err
 	}
