Send more chunks of one byte in the crowd

256 Ki chunks on 60 connections took 51 MB of an entry of 64 MB, below its bound, and writes of 384 bytes made the client the slower side. Each client now sends 1 Mi chunks, in writes of 24 KB.

go test ./e2e/crowd: ok.

--- a/e2e/crowd/kinds.go
+++ b/e2e/crowd/kinds.go
@@ -19,15 +19,16 @@
 	largeChunkBytes = 1 << 20
 	// smallChunks is the number of one-byte chunks that a client sends, unless the limit of
 	// bodies is smaller.
-	smallChunks = 256 << 10
+	smallChunks = 1 << 20
 	// overLimitFactor is how many times the limit of bodies a client sends that exceeds it.
 	overLimitFactor = 4
 	// announcedFactor is how many times the limit of bodies such a client announces.
 	announcedFactor = 1000
 	// lineBytes is the size of a trailer line and of a chunk extension, and lines their number.
 	lineBytes, lines = 200, 5000
-	// batchLines is the number of short lines that are sent in one write.
-	batchLines = 64
+	// batchLines is the number of short lines that are sent in one write, and batchChunks the
+	// number of chunks of one byte.
+	batchLines, batchChunks = 64, 4096
 )
 
 // Kinds of hostile clients. Most of them stop short of the end of their request and leave the
@@ -94,10 +95,11 @@
 
 // oneByteChunks sends chunks of one byte, without the last one.
 func oneByteChunks(w *writer) {
-	batch := strings.Repeat("1\r\nx\r\n", batchLines)
+	const chunk = "1\r\nx\r\n"
+	batch := strings.Repeat(chunk, batchChunks)
 	ok := w.startChunked()
-	for left := min(smallChunks, w.target.MaxBodyBytes-1) / batchLines; ok && left > 0; left-- {
-		ok = w.writeString(batch)
+	for left := min(smallChunks, w.target.MaxBodyBytes-1); ok && left > 0; left -= batchChunks {
+		ok = w.writeString(batch[:len(chunk)*min(left, batchChunks)])
 	}
 }
 
