--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -87,7 +87,7 @@
 	count   atomic.Int64
 }
 
-func newTestServer(t *testing.T, handler http.HandlerFunc) *testServer {
+func newTestServer(t testing.TB, handler http.HandlerFunc) *testServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -114,7 +114,7 @@
 
 // harness runs a Gateway on a listener.
 type harness struct {
-	t       *testing.T
+	t       testing.TB
 	fleet   *testFleet
 	gateway *Gateway
 	address string
@@ -129,7 +129,7 @@
 }
 
 // newHarness starts a Gateway with routes of each kind to a service with servers.
-func newHarness(t *testing.T, locator Locator, servers ...*testServer) *harness {
+func newHarness(t testing.TB, locator Locator, servers ...*testServer) *harness {
 	t.Helper()
 	target := []desired.Target{{Service: "s", Weight: 1}}
 	route := func(name string, kind desired.RouteKind, attempts int) desired.Route {
