Bound the memory of requests at the entry

An entry held whatever its callers sent: bodies allocated by announced size, arrays copied as chunks arrived, a second copy for each attempt, no total over connections. 60 connections took 142 to 181 MB of 64 MB.

One budget per process, derived from memory_mb, now counts bodies, heads, connections and responses. Bodies are read in segments of at most 256 KiB that grow with what has arrived, and are passed on without a copy. A request that was passed on is never evicted.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -49,6 +49,13 @@
 	// memoryLimitRatio is the fraction of the host's memory that is set as the soft
 	// memory limit of the Go runtime. Near it, garbage is collected more often.
 	memoryLimitRatio = 0.7
+	// entryBaseBytes is what the Go runtime of an entry manages without requests, and
+	// requestMemoryRatio the fraction of the rest below the soft limit that requests may hold,
+	// so that garbage has room.
+	entryBaseBytes     = 12 << 20
+	requestMemoryRatio = 0.9
+	// minRequestMemory is what requests may hold on a host with very little memory.
+	minRequestMemory = 8 << 20
 	// retryRatioFactor reduces the retry ratio of one entry, so that the retries of
 	// all entries together stay below the limit when callers move between entries.
 	retryRatioFactor = 0.6
@@ -192,7 +199,7 @@
 		Regions:         failuredomain.NewMap(s.Regions),
 		MaxConfirmedAge: time.Duration(float64(s.MaxRevocationDelay) * confirmedAgeRatio),
 		RetryRatio:      s.RetryRatio * retryRatioFactor, RetryGrants: watcher,
-		RetryWindow: s.RetryWindow, Logger: d.logger, Metrics: d.metrics,
+		RetryWindow: s.RetryWindow, Logger: d.logger, Metrics: d.metrics, MemoryBytes: requestMemory(s.MemoryMB),
 	})
 	listener, err := net.Listen("tcp", s.CallerListen)
 	if err != nil {
@@ -222,6 +229,16 @@
 	return nil
 }
 
+// requestMemory returns the memory that an entry may hold for requests on a host with an amount of
+// memory, 0 if that is unknown.
+func requestMemory(memoryMB int) int64 {
+	if memoryMB <= 0 {
+		return 0
+	}
+	free := float64(memoryMB<<20)*memoryLimitRatio - entryBaseBytes
+	return max(minRequestMemory, int64(free*requestMemoryRatio))
+}
+
 // readinessHandler returns the handler of the platform's readiness probe, which
 // decides whether the entry gets new connections.
 func (d *platformDaemon) readinessHandler(g *gateway.Gateway) http.Handler {
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -2,17 +2,16 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
 const (
-	// unbudgetedBytes is what each request may hold of a response without a share of
-	// the budget. Nearly all responses and events are smaller, so responses without an
-	// end cost only large responses.
+	// unbudgetedBytes is what each request may hold of a response even if the budget is used
+	// up. Nearly all responses and events are smaller, so responses without an end cost only
+	// large responses.
 	unbudgetedBytes = 64 << 10
-	// defaultBufferBytes is the budget if the memory of the host is unknown.
+	// defaultBufferBytes bounds what all responses hold beyond that.
 	defaultBufferBytes = 32 << 20
 	// maxPartBytes limits the parts in which a body is read.
 	maxPartBytes = 256 << 10
@@ -23,28 +22,25 @@
 // errBufferBudget is returned for a response that exceeds the memory for all responses.
 var errBufferBudget = errors.New("the responses being read take too much memory")
 
-// bufferBudget bounds the memory of the parts of responses that are held in memory, for
-// all requests together.
-type bufferBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// budgetShare is what one request takes from the budget.
+// budgetShare is what the response to one request takes from the budget.
 type budgetShare struct {
-	budget *bufferBudget
-	taken  int64
+	budget *memoryBudget
+	// forced are the bytes up to unbudgetedBytes, which are counted but never refused.
+	forced, taken int64
 }
 
 // hold makes the request hold n bytes, and returns false if the budget is used up.
 func (s *budgetShare) hold(n int) bool {
+	if more := min(int64(n), unbudgetedBytes) - s.forced; more > 0 {
+		s.budget.force(more)
+		s.forced += more
+	}
 	needed := int64(n) - unbudgetedBytes - s.taken
 	if needed <= 0 {
 		return true
 	}
 	needed = max(needed, budgetStep)
-	if s.budget.used.Add(needed) > s.budget.limit {
-		s.budget.used.Add(-needed)
+	if !s.budget.takeResponse(needed) {
 		return false
 	}
 	s.taken += needed
@@ -53,8 +49,10 @@
 
 // release returns the share to the budget.
 func (s *budgetShare) release() {
-	s.budget.used.Add(-s.taken)
-	s.taken = 0
+	if s.forced > 0 {
+		s.budget.returnResponse(s.forced, s.taken)
+		s.forced, s.taken = 0, 0
+	}
 }
 
 // readAll reads a body of at most limit bytes into memory, in parts.
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -12,10 +12,8 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/desired"
-	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 )
 
 // Defaults for limits that the desired state does not declare.
@@ -60,7 +58,7 @@
 // request is a request whose body has been read completely.
 type request struct {
 	*http.Request
-	body    []byte
+	body    body
 	arrived time.Time
 }
 
@@ -68,6 +66,8 @@
 type callerConn struct {
 	gateway *Gateway
 	conn    net.Conn
+	// address is the network address of the caller without the port.
+	address string
 	in      *bufio.Reader
 	out     *bufio.Writer
 
@@ -81,6 +81,15 @@
 	// isCutOff is set at the end of the drain, when what is being read or served ends.
 	isCutOff bool
 
+	// reading is set while a request is being read, which interrupt ends by setting interrupted.
+	reading, interrupted bool
+	// served is the number of requests that were served.
+	served int
+	// closing is set when closeForRoom chose the connection.
+	closing bool
+
+	// memory is what the present request holds, nil between requests.
+	memory atomic.Pointer[requestMemory]
 	// closeAnnounced is set when an answer told the caller that the connection closes.
 	closeAnnounced bool
 	// nextArrived is set when bytes of the next request arrived while one is being served.
@@ -88,8 +97,22 @@
 }
 
 func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
-	return &callerConn{gateway: g, conn: conn, in: bufio.NewReaderSize(conn, readBufferBytes),
-		out: bufio.NewWriterSize(conn, writeBufferBytes)}
+	c := &callerConn{gateway: g, conn: conn, address: hostOf(conn.RemoteAddr()), out: bufio.NewWriterSize(conn, writeBufferBytes),
+		idleSince: time.Now()}
+	c.in = bufio.NewReaderSize(callerReader{c}, readBufferBytes)
+	return c
+}
+
+// callerReader reads from the connection and records when bytes arrived.
+type callerReader struct{ *callerConn }
+
+// Read implements io.Reader.
+func (r callerReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if m := r.memory.Load(); m != nil && n > 0 {
+		m.lastRead.Store(int64(r.gateway.elapsed()))
+	}
+	return n, err
 }
 
 // setCancel sets how the request that is being served is canceled, nil if there is none.
@@ -121,12 +144,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := time.Now().Add(timeout)
-	if c.isCutOff {
+	if c.isCutOff || c.interrupted {
 		at = time.Unix(1, 0)
 	}
 	_ = c.conn.SetReadDeadline(at)
 }
 
+// interrupt ends the read of a request whose memory is needed.
+func (c *callerConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.interrupted = true
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// setReading records whether a request is being read.
+func (c *callerConn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
 // wasCutOff reports whether cutOff was called.
 func (c *callerConn) wasCutOff() bool {
 	c.mu.Lock()
@@ -148,6 +188,7 @@
 	defer c.mu.Unlock()
 	if c.busy = busy; !busy {
 		c.idleSince = time.Now()
+		c.served++
 	}
 }
 
@@ -190,11 +231,23 @@
 	}
 }
 
+// setIdleTimeout limits the time until the next request, to none if the connection was chosen to be
+// closed.
+func (c *callerConn) setIdleTimeout(wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := time.Now().Add(wait)
+	if c.closing {
+		at = time.Unix(1, 0)
+	}
+	_ = c.conn.SetReadDeadline(at)
+}
+
 // awaitRequest waits for the first byte of a request, and returns false if none arrives in
 // time. It reads once more after the time, because a read whose deadline has passed does not
 // look at bytes that have arrived.
 func (c *callerConn) awaitRequest(wait time.Duration) bool {
-	_ = c.conn.SetReadDeadline(time.Now().Add(wait))
+	c.setIdleTimeout(wait)
 	_, err := c.in.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.setBusy(true)
@@ -210,14 +263,44 @@
 	arrived := time.Now()
 	w := &responseWriter{conn: c.conn, out: c.out, stopping: c.closesForStop}
 	defer func() { c.closeAnnounced = w.closeAnnounced }()
+	memory := c.gateway.memory.begin(c.address, c.interrupt)
+	defer memory.release()
+	c.memory.Store(memory)
+	defer c.memory.Store(nil)
+	c.setReading(true)
+	r, err := c.readRequest(w, limits, memory)
+	if err == nil {
+		err = memory.commit()
+	}
+	c.setReading(false)
+	if err != nil {
+		return c.reject(w, memory, err)
+	}
+	r.arrived = arrived
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c.setCancel(cancel)
+	stop := c.watchClose(func() { cancel(context.Canceled) })
+	c.gateway.handle(ctx, r, w)
+	c.setCancel(nil)
+	cancel(nil)
+	stop()
+	if w.started && !w.ended {
+		w.abort()
+		return false
+	}
+	return w.ended && !w.closeAfter
+}
+
+// readRequest reads a request completely.
+func (c *callerConn) readRequest(w *responseWriter, limits desired.Limits, memory *requestMemory) (*request, error) {
 	c.setReadTimeout(limits.HeaderTimeout)
-	head, err := readHead(c.in, limits.HeaderBytes)
+	head, err := readHead(c.in, limits.HeaderBytes, memory)
 	if err != nil {
-		return c.reject(w, err)
+		return nil, err
 	}
 	parsed, bodyFraming, err := parseHead(head)
 	if err != nil {
-		return c.reject(w, err)
+		return nil, err
 	}
 	w.noBody = parsed.Method == http.MethodHead
 	w.http10 = parsed.ProtoMinor == 0
@@ -228,29 +311,25 @@
 		_ = c.out.Flush()
 	}
 	c.setReadTimeout(bodyTimeout)
-	body, err := readBody(c.in, bodyFraming, limits.BodyBytes)
+	content, err := readBody(c.in, bodyFraming, bodyLimits{bytes: limits.BodyBytes, framing: limits.HeaderBytes}, memory)
 	if err != nil {
-		return c.reject(w, err)
+		return nil, err
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	c.setCancel(cancel)
-	stop := c.watchClose(func() { cancel(context.Canceled) })
-	c.gateway.handle(ctx, &request{Request: parsed, body: body, arrived: arrived}, w)
-	c.setCancel(nil)
-	cancel(nil)
-	stop()
-	if w.started && !w.ended {
-		w.abort()
-		return false
-	}
-	return w.ended && !w.closeAfter
+	return &request{Request: parsed, body: content}, nil
 }
 
 // closesForStop reports whether the connection closes after the present request because the
-// entry stops. A request that was sent behind it gets an answer first, since its caller could
+// entry stops or it was chosen to be closed. A request that was sent behind it gets an answer first, since its caller could
 // not know of the close.
 func (c *callerConn) closesForStop() bool {
-	return c.gateway.drain.Load() != nil && !c.nextArrived.Load()
+	return (c.gateway.drain.Load() != nil || c.isClosing()) && !c.nextArrived.Load()
+}
+
+// isClosing reports whether the connection was chosen to be closed.
+func (c *callerConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
 }
 
 // hasUnread reports whether bytes of the next request arrived. While the entry stops, it also
@@ -260,35 +339,6 @@
 	return c.in.Buffered() > 0 || ok && c.gateway.drain.Load() != nil && wire.Unread(tcp) > 0
 }
 
-// reject responds to a request that could not be read. It always returns false.
-func (c *callerConn) reject(w *responseWriter, err error) bool {
-	w.closeAfter = true
-	status, text := http.StatusBadRequest, err.Error()
-	header := http.Header{}
-	var netErr net.Error
-	switch {
-	case errors.Is(err, errHeadTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, errBodyTooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, errMalformed):
-	case errors.As(err, &netErr) && netErr.Timeout() && c.wasCutOff():
-		status, text = http.StatusServiceUnavailable, "this entry stops"
-		header.Set("Retry-After", formatSeconds(dispatch.RetryElsewhere(0, c.gateway.random())))
-	case errors.As(err, &netErr) && netErr.Timeout():
-		status, text = http.StatusRequestTimeout, "the request did not arrive in time"
-	default:
-		// The caller closed the connection, so there is nobody to respond to.
-		return false
-	}
-	c.gateway.logger.Info("request rejected before it was fully read", zap.Int("status", status),
-		zap.String("reason", text), zap.String("remote", c.conn.RemoteAddr().String()))
-	c.gateway.metrics.rejected.Add(1)
-	header.Set(verdictHeader, "not_run")
-	_ = w.writeResponse(status, header, []byte(text+"\n"))
-	return false
-}
-
 // watchClose calls cancel when the caller closes the connection. The returned
 // function stops watching. Bytes of a pipelined request stay in the read buffer.
 func (c *callerConn) watchClose(cancel context.CancelFunc) func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,11 +147,14 @@
 	// RetryGrants hands out the slack that all entries share. It may be nil.
 	RetryGrants RetryGranter
 	RetryWindow time.Duration
-	// BufferBytes bounds the memory of the parts of responses that are held in memory, 0
-	// for the default.
-	BufferBytes int64
-	Logger      *zap.Logger
-	Metrics     *observe.Metrics
+	// MemoryBytes bounds the memory that is held for requests and responses, 0 for the
+	// default.
+	MemoryBytes int64
+	// MaxConnections bounds the connections from callers, 0 for the bound that follows from
+	// MemoryBytes.
+	MaxConnections int
+	Logger         *zap.Logger
+	Metrics        *observe.Metrics
 }
 
 // Gateway is the reverse proxy of one entry.
@@ -166,7 +169,10 @@
 	parts    *partGuard
 	lengths  lengthPredictor
 	times    timePredictor
-	buffers  bufferBudget
+	memory   *memoryBudget
+	refusals *refusalLog
+	// refusing has an element for each connection that is being refused.
+	refusing chan struct{}
 	started  time.Time
 
 	// drain is set while the entry drains. Its times are values of elapsed.
@@ -184,8 +190,11 @@
 func New(options Options) *Gateway {
 	g := &Gateway{options: options, logger: options.Logger, started: time.Now(), conns: map[*callerConn]struct{}{},
 		rng: rand.New(rand.NewSource(time.Now().UnixNano()))}
-	g.buffers.limit = cmp.Or(options.BufferBytes, defaultBufferBytes)
+	g.memory = newMemoryBudget(cmp.Or(options.MemoryBytes, defaultMemoryBytes), g.elapsed)
+	g.options.MaxConnections = cmp.Or(options.MaxConnections, maxConnections(g.memory.limit, 0))
+	g.refusals, g.refusing = newRefusalLog(options.Logger, g.elapsed), make(chan struct{}, maxRefusing)
 	g.metrics = newMetrics(options.Metrics)
+	options.Metrics.Gauge("gateway_request_memory_bytes", func() float64 { return float64(g.memory.inUse()) })
 	g.notices = newNoticeBoard(&options)
 	g.services.init(&options, g.notices)
 	g.limits = newLimiter(&options)
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -75,7 +75,7 @@
 	defer g.activeRequests.Add(-1)
 	g.metrics.requests.Add(1)
 	x := &exchange{g: g, r: r, w: w, metadata: g.options.Dialect.ReadRequest(r.Header),
-		buffers: budgetShare{budget: &g.buffers}}
+		buffers: budgetShare{budget: g.memory}}
 	defer x.buffers.release()
 	x.logger = g.logger.With(zap.String("request_id", x.metadata.ID))
 	if !x.admit() || x.refuseQuarantined() {
--- a/gateway/head.go
+++ b/gateway/head.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,16 +22,31 @@
 	length  int64
 }
 
+const (
+	// ordinaryHeadBytes is the size of a head that connectionBytes includes.
+	ordinaryHeadBytes = 4 << 10
+	// headCopies is how many times the bytes of a head are held while it is parsed: as read, as
+	// text and in the headers.
+	headCopies = 3
+)
+
 // readHead reads a request head up to and including the empty line. Lines must end
 // in CRLF, because parsers that accept other line ends see different requests.
-func readHead(r *bufio.Reader, limit int64) ([]byte, error) {
+func readHead(r *bufio.Reader, limit int64, memory *requestMemory) ([]byte, error) {
 	var head []byte
+	counted := ordinaryHeadBytes
 	for {
 		line, err := r.ReadSlice('\n')
 		head = append(head, line...)
 		if int64(len(head)) > limit {
 			return nil, errHeadTooLarge
 		}
+		if cap(head) > counted {
+			if err := memory.take(int64(headCopies * (cap(head) - counted))); err != nil {
+				return nil, err
+			}
+			counted = cap(head)
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -114,83 +128,3 @@
 	}
 	return f, nil
 }
-
-// errBodyTooLarge is returned for a body that exceeds the limit.
-var errBodyTooLarge = errors.New("the request body is larger than the limit")
-
-// readBody reads the complete body and leaves r at the start of the next request.
-func readBody(r *bufio.Reader, f framing, limit int64) ([]byte, error) {
-	if !f.chunked {
-		if f.length > limit {
-			return nil, errBodyTooLarge
-		}
-		if f.length == 0 {
-			return nil, nil
-		}
-		body := make([]byte, f.length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	return readChunks(r, limit)
-}
-
-// maxChunkLineBytes bounds the size line of a chunk and each trailer line.
-const maxChunkLineBytes = 256
-
-// readChunks reads a body in chunked encoding, including its trailers.
-func readChunks(r *bufio.Reader, limit int64) ([]byte, error) {
-	var body []byte
-	for {
-		line, err := readLine(r)
-		if err != nil {
-			return nil, err
-		}
-		digits, _, _ := strings.Cut(line, ";")
-		size, err := strconv.ParseUint(strings.TrimRight(digits, " \t"), 16, 32)
-		if err != nil {
-			return nil, errMalformed
-		}
-		if size == 0 {
-			return body, skipTrailers(r)
-		}
-		if int64(len(body))+int64(size) > limit {
-			return nil, errBodyTooLarge
-		}
-		start := len(body)
-		body = append(body, make([]byte, size)...)
-		if _, err := io.ReadFull(r, body[start:]); err != nil {
-			return nil, err
-		}
-		if line, err = readLine(r); err != nil {
-			return nil, err
-		}
-		if line != "" {
-			return nil, errMalformed
-		}
-	}
-}
-
-// skipTrailers reads trailer lines up to and including the empty line.
-func skipTrailers(r *bufio.Reader) error {
-	for {
-		line, err := readLine(r)
-		if err != nil || line == "" {
-			return err
-		}
-	}
-}
-
-// readLine reads a line that ends in CRLF and returns it without the line end.
-func readLine(r *bufio.Reader) (string, error) {
-	line, err := r.ReadSlice('\n')
-	if err != nil {
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return "", errMalformed
-		}
-		return "", err
-	}
-	if len(line) > maxChunkLineBytes || len(line) < 2 || line[len(line)-2] != '\r' {
-		return "", errMalformed
-	}
-	return string(line[:len(line)-2]), nil
-}
--- a/gateway/head_test.go
+++ b/gateway/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"strings"
 	"testing"
@@ -48,7 +49,7 @@
 // against heads of unlimited size.
 func TestReadHead(t *testing.T) {
 	read := func(text string, limit int64) (string, error) {
-		head, err := readHead(bufio.NewReaderSize(strings.NewReader(text), 32), limit)
+		head, err := readHead(bufio.NewReaderSize(strings.NewReader(text), 32), limit, nil)
 		return string(head), err
 	}
 	if _, err := read("GET / HTTP/1.1\nHost: h\n\n", 1000); !errors.Is(err, errMalformed) {
@@ -83,7 +84,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			in := bufio.NewReader(strings.NewReader(c.in))
-			body, err := readBody(in, c.f, 20)
+			content, err := readBody(in, c.f, bodyLimits{bytes: 20, framing: 20}, nil)
+			body := bytes.Join(content.segments, nil)
 			if !errors.Is(err, c.err) || string(body) != c.want && err == nil {
 				t.Fatalf("%q, %v", body, err)
 			}
@@ -99,7 +101,7 @@
 	f.Add([]byte(requestStart + "Content-Length: 5\r\n\r\n"))
 	f.Add([]byte(requestStart + "Transfer-Encoding: chunked\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		head, err := readHead(bufio.NewReader(strings.NewReader(string(data))), 4096)
+		head, err := readHead(bufio.NewReader(strings.NewReader(string(data))), 4096, nil)
 		if err != nil {
 			return
 		}
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -35,14 +35,20 @@
 	}
 }
 
-// startConnection serves a connection.
+// startConnection serves a connection, or refuses it if there is no room for it.
 func (g *Gateway) startConnection(conn net.Conn) {
+	if !g.makeRoom() {
+		g.refuseConnection(conn)
+		return
+	}
 	c := newCallerConn(g, conn)
+	g.memory.force(connectionBytes)
 	g.mu.Lock()
 	g.conns[c] = struct{}{}
 	g.mu.Unlock()
 	go func() {
 		c.serve()
+		g.memory.force(-connectionBytes)
 		g.mu.Lock()
 		delete(g.conns, c)
 		g.mu.Unlock()
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -30,8 +30,9 @@
 	if x.caller != nil {
 		caller = x.caller.Name
 	}
-	return quarantine.Digest([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(caller), x.r.body,
-		[]byte(strings.Join(x.metadata.Parts, ",")))
+	texts := [][]byte{[]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(caller),
+		[]byte(strings.Join(x.metadata.Parts, ","))}
+	return quarantine.DigestSegmented(texts[0:1], texts[1:2], texts[2:3], texts[3:4], x.r.body.segments, texts[4:5])
 }
 
 // refuseQuarantined refuses a quarantined request, which is one that crashed several
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -114,7 +114,8 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetWriteDeadline(deadline)
 	}
-	if _, err := conn.Write(g.encode(r, f)); err != nil {
+	message := append(net.Buffers{g.encodeHead(r, f)}, r.body.segments...)
+	if _, err := message.WriteTo(conn); err != nil {
 		// A server may respond and close before it has read a long body.
 		if result, readErr := g.readResponse(u, r); readErr == nil {
 			return u, result, nil
@@ -130,20 +131,19 @@
 	return u, result, nil
 }
 
-// encode returns the bytes of the request to a server.
-func (g *Gateway) encode(r *request, f ForwardMetadata) []byte {
+// encodeHead returns the head of the request to a server.
+func (g *Gateway) encodeHead(r *request, f ForwardMetadata) []byte {
 	header := endToEnd(r.Header)
 	g.options.Dialect.WriteForward(header, f)
 	var out bytes.Buffer
-	out.Grow(len(r.body) + 1<<10)
+	out.Grow(1 << 10)
 	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
-	if len(r.body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		header.Set("Content-Length", strconv.Itoa(len(r.body)))
+	if r.body.length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.FormatInt(r.body.length, 10))
 	}
 	header.Set("Connection", "close")
 	_ = header.Write(&out)
 	out.WriteString("\r\n")
-	out.Write(r.body)
 	return out.Bytes()
 }
 
