--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// MaxIdle is how long an unfinished request may send nothing before it counts as lagging. A
-	// caller within the limits that sends a body does not pause so long, unless its network
-	// loses packets repeatedly.
+	// MaxIdle is how long an unfinished request may send nothing before it counts as lagging. It is
+	// longer than one retransmission of a lost packet takes.
 	MaxIdle = 500 * time.Millisecond
 	// MinRate is the average rate in bytes per second below which a request lags once it is
 	// older than StartTime. It gives a body of 4 MiB five seconds.
