--- /dev/null
+++ b/netlimit/conns.go
@@ -0,0 +1,146 @@
+package netlimit
+
+import (
+	"sync"
+	"time"
+)
+
+// Phase is what a connection is used for.
+type Phase int
+
+// Phases of a connection, in the order in which they are given up for a new connection.
+const (
+	// Fresh connections have not sent a whole head or frame yet.
+	Fresh Phase = iota
+	// Idle connections have no request in progress.
+	Idle
+	// Receiving connections have a request that is not complete.
+	Receiving
+	// Busy connections have a request that is being served. They are not given up.
+	Busy
+)
+
+// Conns bounds the connections of a listener. It is safe for concurrent use.
+type Conns struct {
+	mu    sync.Mutex
+	max   int
+	conns map[*Conn]struct{}
+}
+
+// Conn is a connection that is counted.
+type Conn struct {
+	conns *Conns
+	phase Phase
+	since time.Time
+	// end closes the connection, or answers and closes it.
+	end func()
+	// ending is set while a client that was still sending is answered.
+	ending bool
+}
+
+// refusalShare is the share of connections above the bound that are answered that there is no room.
+const refusalShare = 8
+
+// NewConns returns a bound of max connections.
+func NewConns(max int) *Conns { return &Conns{max: max, conns: map[*Conn]struct{}{}} }
+
+// Admission is the outcome of Add.
+type Admission int
+
+// Outcomes of Add.
+const (
+	// Admitted means that the connection is served.
+	Admitted Admission = iota
+	// Displacing means that it is served and another one was ended for it.
+	Displacing
+	// NoRoom means that it can only be answered that there is no room.
+	NoRoom
+	// Overrun means that it must be closed at once.
+	Overrun
+)
+
+// Add counts a connection in the phase Fresh. Beyond the bound it ends the connection that is least
+// worth keeping: of the lowest phase, the one that has been in it for the longest time.
+func (c *Conns) Add(end func()) (*Conn, Admission) {
+	c.mu.Lock()
+	added := &Conn{conns: c, since: time.Now(), end: end}
+	admission, victims := c.admit()
+	ends := make([]func(), 0, len(victims))
+	for _, victim := range victims {
+		ends = append(ends, victim.end)
+	}
+	if admission != Overrun {
+		c.conns[added] = struct{}{}
+	}
+	c.mu.Unlock()
+	for _, end := range ends {
+		end()
+	}
+	return added, admission
+}
+
+// admit decides about one more connection, and returns those to end for it. There are several if
+// clients that were refused are still being answered.
+func (c *Conns) admit() (admission Admission, victims []*Conn) {
+	for len(c.conns) >= c.max {
+		victim, ending := c.choose()
+		switch {
+		case victim != nil && victim.phase < Receiving:
+			// It is closed at once.
+			delete(c.conns, victim)
+			admission, victims = Displacing, append(victims, victim)
+			continue
+		case len(c.conns) >= c.max+max(1, c.max/refusalShare):
+			return Overrun, victims
+		case len(c.conns)-ending < c.max:
+			return admission, victims
+		case victim != nil:
+			victim.ending = true
+			return Displacing, append(victims, victim)
+		}
+		return NoRoom, victims
+	}
+	return admission, victims
+}
+
+// choose returns the connection that is least worth keeping, and the number of those that end.
+func (c *Conns) choose() (victim *Conn, ending int) {
+	for conn := range c.conns {
+		switch {
+		case conn.ending:
+			ending++
+		case conn.phase == Busy:
+		case victim == nil || conn.phase < victim.phase || conn.phase == victim.phase && conn.since.Before(victim.since):
+			victim = conn
+		}
+	}
+	return victim, ending
+}
+
+// Count returns the number of connections.
+func (c *Conns) Count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
+// Set changes the phase of a connection.
+func (c *Conn) Set(phase Phase) {
+	c.conns.mu.Lock()
+	c.phase, c.since, c.ending = phase, time.Now(), false
+	c.conns.mu.Unlock()
+}
+
+// SetEnd changes how the connection is ended.
+func (c *Conn) SetEnd(end func()) {
+	c.conns.mu.Lock()
+	c.end = end
+	c.conns.mu.Unlock()
+}
+
+// Remove stops counting the connection. It may be called again.
+func (c *Conn) Remove() {
+	c.conns.mu.Lock()
+	delete(c.conns.conns, c)
+	c.conns.mu.Unlock()
+}
