Limit messages and connections between daemons

gob takes 10 MiB for a message that was only announced and accepts 8 GiB; nothing limited the time of a message or of a TLS handshake, nor the connections, and a failed accept ended the listener for good. Servers of calls now receive a message whole, within a budget, before it is decoded; token links take memory for frames as they arrive, and queues after the first frame.

go test -count=3 ./wire and go test ./agent ./entry ./control ./peer ./evacuate: ok.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/verdict"
 	"arbutusmast.example/arbutusmast/engine"
+	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -33,6 +34,9 @@
 
 // Options configures an agent.
 type Options struct {
+	// LinkLimits bounds what clients of the token links can make the agent hold. The zero value
+	// means wire.DefaultLimits.
+	LinkLimits  wire.Limits
 	Host        string
 	Incarnation message.Incarnation
 	Fleet       Fleet
--- a/agent/link.go
+++ b/agent/link.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +11,7 @@
 	"arbutusmast.example/arbutusmast/core/link"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/verdict"
+	"arbutusmast.example/arbutusmast/netlimit"
 	"arbutusmast.example/arbutusmast/ring"
 	"arbutusmast.example/arbutusmast/wire"
 	"go.uber.org/zap"
@@ -50,8 +53,10 @@
 
 // linkConn is the connection of one token link from an entry.
 type linkConn struct {
-	agent *Agent
-	conn  net.Conn
+	agent   *Agent
+	conn    net.Conn
+	counted *netlimit.Conn
+	limits  *wire.Limits
 	// ready holds the subscriptions that have something to send.
 	ready *ring.Queue[*subscription]
 	// replies holds frames that do not belong to a subscription.
@@ -68,23 +73,38 @@
 
 // ServeLinks accepts token links until the listener closes.
 func (a *Agent) ServeLinks(listener net.Listener) {
+	limits := a.options.LinkLimits
+	if limits.Budget == nil {
+		limits = wire.DefaultLimits(netlimit.NewReporter("token links", nil, nil))
+	}
+	bound := netlimit.NewConns(limits.MaxConns)
 	for {
-		conn, err := listener.Accept()
-		if err != nil {
+		conn, ok := netlimit.Accept(listener, limits.Reporter)
+		if !ok {
 			return
 		}
+		counted, ok := limits.Admit(bound, conn)
+		if !ok {
+			continue
+		}
 		c := &linkConn{
-			agent: a, conn: conn, done: make(chan struct{}), subscriptions: map[message.ExecutionID]*subscription{},
-			ready: ring.New[*subscription](maxLinkStreams), replies: ring.New[*message.Frame](maxLinkStreams),
+			agent: a, conn: conn, counted: counted, limits: &limits, done: make(chan struct{}),
+			subscriptions: map[message.ExecutionID]*subscription{},
 		}
 		a.mu.Lock()
 		a.links[conn] = c
 		a.mu.Unlock()
 		a.spawn(c.readLoop)
-		a.spawn(c.writeLoop)
 	}
 }
 
+// begin starts to send after the first frame of the entry. Clients that send none get no queues.
+func (c *linkConn) begin() {
+	c.ready, c.replies = ring.New[*subscription](maxLinkStreams), ring.New[*message.Frame](maxLinkStreams)
+	c.counted.Set(netlimit.Busy)
+	c.agent.spawn(c.writeLoop)
+}
+
 // reply sends the end of a stream that has no subscription.
 func (c *linkConn) reply(end *message.End) {
 	if !c.replies.TryPush(&message.Frame{End: end}) {
@@ -119,13 +139,18 @@
 // readLoop processes the frames of the entry until the link ends.
 func (c *linkConn) readLoop() {
 	defer c.close()
+	defer c.counted.Remove()
 	reader := wire.NewFrameReader(c.conn, link.LivenessTimeout)
-	for {
+	reader.Limit(c.limits.Budget)
+	for first := true; ; first = false {
 		frame, err := reader.Read()
 		if err != nil {
-			c.agent.logger.Debug("token link closed", zap.Error(err))
+			c.reportEnd(err)
 			return
 		}
+		if first {
+			c.begin()
+		}
 		switch {
 		case frame.Hello != nil:
 			c.agent.options.Fleet.Observe(frame.Hello.Header)
@@ -139,6 +164,19 @@
 	}
 }
 
+func (c *linkConn) reportEnd(err error) {
+	client := c.conn.RemoteAddr().String()
+	switch {
+	case errors.Is(err, netlimit.ErrNoMemory):
+		c.limits.Reporter.Refused(netlimit.ReasonNoMemory, client)
+	case errors.Is(err, wire.ErrFrameTooLarge):
+		c.limits.Reporter.Refused(netlimit.ReasonTooLarge, client)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.limits.Reporter.Refused(netlimit.ReasonFrameTimeout, client)
+	}
+	c.agent.logger.Debug("token link closed", zap.Error(err))
+}
+
 // subscribe adds a subscription, which replaces an earlier one to the same
 // execution. If the answer is not available, it replies with the end of the stream.
 func (c *linkConn) subscribe(request *message.Subscribe) {
--- a/wire/client.go
+++ b/wire/client.go
@@ -81,7 +81,7 @@
 	}
 	activity := newActivityConn(conn)
 	c.conn = &clientConn{
-		rpc: rpc.NewClientWithCodec(&clientCodec{newGobCodec(activity), activity}), activity: activity}
+		rpc: rpc.NewClientWithCodec(&clientCodec{newGobCodec(activity, activity, activity), activity}), activity: activity}
 	return c.conn, nil
 }
 
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/verdict"
+	"arbutusmast.example/arbutusmast/netlimit"
+	"github.com/pkg/errors"
 )
 
 // trackedRequest wraps the body of a request that is passed to the codec. written
@@ -55,15 +57,15 @@
 
 // gobCodec is the gob encoding of net/rpc for clients and servers.
 type gobCodec struct {
-	conn   io.ReadWriteCloser
+	conn   io.Closer
 	dec    *gob.Decoder
 	enc    *gob.Encoder
 	buffer *bufio.Writer
 }
 
-func newGobCodec(conn io.ReadWriteCloser) gobCodec {
-	buffer := bufio.NewWriter(conn)
-	return gobCodec{conn: conn, dec: gob.NewDecoder(conn), enc: gob.NewEncoder(buffer), buffer: buffer}
+func newGobCodec(conn io.Closer, in io.Reader, out io.Writer) gobCodec {
+	buffer := bufio.NewWriter(out)
+	return gobCodec{conn: conn, dec: gob.NewDecoder(in), enc: gob.NewEncoder(buffer), buffer: buffer}
 }
 
 func (c *gobCodec) write(header, body any) error {
@@ -119,6 +121,7 @@
 type serverCodec struct {
 	gobCodec
 	server *Server
+	reader *messageReader
 	// lastRequest is the time of the last call in nanoseconds.
 	lastRequest atomic.Int64
 	// refused is the sequence number of the last refused call plus 1.
@@ -134,6 +137,7 @@
 		return err
 	}
 	c.server.activeCalls.Add(1)
+	c.reader.calls.Add(1)
 	c.lastRequest.Store(time.Now().UnixNano())
 	if c.server.refusing.Load() {
 		c.refused.Store(r.Seq + 1)
@@ -149,13 +153,25 @@
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	if r.ServiceMethod != pingMethod {
 		defer c.server.activeCalls.Add(-1)
+		defer c.endCall()
 	}
 	if r.Seq+1 == c.refused.Load() {
 		r.Error = refusal
 	}
 	err := c.write(r, body)
 	if err != nil {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			c.server.limits.Reporter.Refused(netlimit.ReasonSlowReader, c.reader.conn.RemoteAddr().String())
+		}
 		_ = c.Close()
 	}
 	return err
 }
+
+// endCall is called after the reply to a call was written.
+func (c *serverCodec) endCall() {
+	if c.reader.calls.Add(-1) == 0 {
+		c.reader.setWaiting()
+	}
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/netlimit"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -18,6 +21,7 @@
 const (
 	frameHeaderBytes = 4
 	bufferBytes      = 16 << 10
+	keptBodyBytes    = 16 << 10
 )
 
 // ErrFrameTooLarge is returned for a frame that exceeds MaxFrameBytes.
@@ -79,7 +83,10 @@
 	conn    net.Conn
 	in      *bufio.Reader
 	timeout time.Duration
-	body    []byte
+	// body is the buffer for frames of up to keptBodyBytes.
+	body []byte
+	// budget is nil if memory is not counted.
+	budget *netlimit.Budget
 }
 
 // NewFrameReader returns a reader whose reads of a frame each fail after timeout.
@@ -87,6 +94,36 @@
 	return &FrameReader{conn: conn, in: bufio.NewReaderSize(conn, bufferBytes), timeout: timeout}
 }
 
+// Limit makes the reader count the memory of frames.
+func (r *FrameReader) Limit(budget *netlimit.Budget) { r.budget = budget }
+
+// readBody reads the body of a frame. A large one takes memory as its bytes arrive, and no longer than
+// until it is decoded.
+func (r *FrameReader) readBody(size int) ([]byte, error) {
+	if size <= keptBodyBytes {
+		if cap(r.body) < size {
+			r.body = make([]byte, size)
+		}
+		_, err := io.ReadFull(r.in, r.body[:size])
+		return r.body[:size], err
+	}
+	if r.budget != nil {
+		holding := r.budget.Open(func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
+		defer holding.Close()
+		parts, err := netlimit.ReadSegments(holding, r.in, int64(size))
+		if err == nil {
+			err = holding.Grow(int64(size))
+		}
+		if err != nil {
+			return nil, err
+		}
+		return slices.Concat(parts...), nil
+	}
+	var body bytes.Buffer
+	_, err := io.CopyN(&body, r.in, int64(size))
+	return body.Bytes(), err
+}
+
 // Read reads and decodes the next frame.
 func (r *FrameReader) Read() (*message.Frame, error) {
 	if err := r.conn.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
@@ -100,11 +137,8 @@
 	if size > MaxFrameBytes {
 		return nil, ErrFrameTooLarge
 	}
-	if cap(r.body) < int(size) {
-		r.body = make([]byte, size)
-	}
-	body := r.body[:size]
-	if _, err := io.ReadFull(r.in, body); err != nil {
+	body, err := r.readBody(int(size))
+	if err != nil {
 		return nil, errors.Wrap(err, "read frame")
 	}
 	var f message.Frame
--- /dev/null
+++ b/wire/limits_test.go
@@ -0,0 +1,143 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/netlimit"
+)
+
+// repeater is a service that returns what it gets.
+type repeater struct{}
+
+func (repeater) Echo(request []byte, reply *[]byte) error {
+	*reply = request
+	return nil
+}
+
+// failingListener fails a number of times for lack of descriptors.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+func serveLimited(t *testing.T, limits Limits, failures int32) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: listener}
+	failing.failures.Store(failures)
+	s := NewServer(failing)
+	s.SetLimits(limits)
+	if err := s.Register("Test", repeater{}); err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(s.Close)
+	return listener.Addr().String()
+}
+
+func callEcho(address string, request []byte) ([]byte, error) {
+	c := NewClient(address, nil)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var reply []byte
+	err := c.Call(ctx, "Test.Echo", request, &reply)
+	return reply, err
+}
+
+func testWireLimits() Limits { return DefaultLimits(netlimit.NewReporter("test", nil, nil)) }
+
+// Guards against messages that are changed or refused although they are within the limits, against
+// those above the limits, and against memory that stays counted.
+func TestMessagesOfAllSizes(t *testing.T) {
+	limits := testWireLimits()
+	limits.MaxMessageBytes = 2 << 20
+	address := serveLimited(t, limits, 0)
+	for _, size := range []int{0, 1, smallMessageBytes - 100, smallMessageBytes, 300 << 10, 2<<20 - 100} {
+		sent := bytes.Repeat([]byte("0123456789a"), size/11+1)[:size]
+		if got, err := callEcho(address, sent); err != nil || !bytes.Equal(got, sent) {
+			t.Errorf("%d bytes: %d back, %v", size, len(got), err)
+		}
+	}
+	if _, err := callEcho(address, make([]byte, 3<<20)); err == nil {
+		t.Error("a message above the limit was accepted")
+	}
+	for end := time.Now().Add(10 * time.Second); limits.Budget.Used() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are still counted", limits.Budget.Used())
+		}
+	}
+}
+
+// Guards against a server that stops accepting for good when it runs out of descriptors.
+func TestServerSurvivesFailedAccepts(t *testing.T) {
+	address := serveLimited(t, testWireLimits(), 3)
+	if _, err := callEcho(address, []byte("data")); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against clients that send nothing or stop in the middle of a message and are kept.
+func TestUnfinishedMessagesEnd(t *testing.T) {
+	for _, c := range []struct {
+		name, sent string
+	}{
+		{"silent", ""}, {"unfinished length", "\xfc\x00"}, {"unfinished small message", "\x20abc"},
+		{"unfinished large message", "\xfd\x10\x00\x00abc"}, {"huge length", "\xf8\x7f\x00\x00\x00\x00\x00\x00\x00"},
+		{"length with too many bytes", "\x81"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			limits := testWireLimits()
+			limits.FirstTimeout, limits.MessageTimeout = 50*time.Millisecond, 50*time.Millisecond
+			conn, err := net.Dial("tcp", serveLimited(t, limits, 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, c.sent); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if _, err := io.ReadAll(conn); err != nil {
+				if e, ok := err.(net.Error); ok && e.Timeout() {
+					t.Error("the connection stays open")
+				}
+			}
+		})
+	}
+}
+
+// Guards against silent connections that keep peers from calling, and against calls in progress that
+// are cut for new connections.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	limits := testWireLimits()
+	limits.MaxConns = 2
+	address := serveLimited(t, limits, 0)
+	for range 10 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	if _, err := callEcho(address, []byte("data")); err != nil {
+		t.Error(err)
+	}
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusmast.example/arbutusmast/netlimit"
 	"github.com/pkg/errors"
 )
 
@@ -77,6 +78,8 @@
 	rpc         *rpc.Server
 	listener    net.Listener
 	activeCalls atomic.Int64
+	limits      Limits
+	bound       *netlimit.Conns
 	// refusing is set when calls that arrive are answered that they were not run.
 	refusing atomic.Bool
 
@@ -88,11 +91,17 @@
 // NewServer returns a server for a listener.
 func NewServer(listener net.Listener) *Server {
 	s := &Server{rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]*serverCodec{}}
+	s.SetLimits(DefaultLimits(netlimit.NewReporter("calls", nil, nil)))
 	// The method set of pingService is fixed, so the registration cannot fail.
 	_ = s.rpc.RegisterName("Wire", pingService{})
 	return s
 }
 
+// SetLimits replaces DefaultLimits. It must be called before Serve.
+func (s *Server) SetLimits(limits Limits) {
+	s.limits, s.bound = limits, netlimit.NewConns(limits.MaxConns)
+}
+
 // Register registers a net/rpc service under a name.
 func (s *Server) Register(name string, service any) error {
 	return errors.Wrapf(s.rpc.RegisterName(name, service), "register service %s", name)
@@ -101,18 +110,27 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve() {
 	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
+		conn, ok := netlimit.Accept(s.listener, s.limits.Reporter)
+		if !ok {
 			return
 		}
-		codec := &serverCodec{gobCodec: newGobCodec(conn), server: s}
+		counted, ok := s.limits.Admit(s.bound, conn)
+		if !ok {
+			continue
+		}
+		reader := newMessageReader(conn, &s.limits, counted)
+		codec := &serverCodec{gobCodec: newGobCodec(conn, reader, deadlineWriter{conn, s.limits.MessageTimeout}),
+			server: s, reader: reader}
 		if !s.track(conn, codec) {
+			counted.Remove()
 			_ = conn.Close()
 			return
 		}
 		go func() {
 			s.rpc.ServeCodec(codec)
 			s.untrack(conn)
+			counted.Remove()
+			reader.release()
 		}()
 	}
 }
