Limit the clients of operators, callers, metrics and readiness

The listeners had no bound over connections, and no timeout of bodies. They get the limits of netlimit, derived from the memory and the descriptors of the process, with a counter and a log line for each reason. Operators and INI callers read bodies within the budget; a refusal is 503 with Retry-After and the verdict not_run. Lookups of symbols on the operators' listener get a bound of 256 KiB, because their answer is longer than their body.

--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -75,6 +75,7 @@
 	ReasonUnknownModel     Reason = "unknown_model"
 	ReasonUnknownService   Reason = "unknown_service"
 	ReasonOverloaded       Reason = "overloaded"
+	ReasonRequestMemory    Reason = "request_memory"
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonRateLimited      Reason = "rate_limited"
 	ReasonLeaving          Reason = "leaving"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/engine/standin"
 	"arbutusmast.example/arbutusmast/entry"
+	"arbutusmast.example/arbutusmast/netlimit"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/order"
 	"arbutusmast.example/arbutusmast/peer"
@@ -123,6 +124,7 @@
 		return err
 	}
 	d.rpc = wire.NewServer(listener)
+	d.rpc.SetLimits(newPeerLimits("calls", d.logger, d.metrics))
 	return nil
 }
 
@@ -166,8 +168,11 @@
 		Host: d.settings.Daemon.Host, Config: d.state.Config, Header: d.state.Header, Control: controlClient{d.state},
 		Logger: d.logger,
 	})
+	links := newPeerLimits("token_links", d.logger, d.metrics)
+	links.MaxConns = netlimit.MaxConns(linkConnShare)
 	d.agent = agent.New(agent.Options{
-		Host: d.settings.Daemon.Host, Incarnation: d.incarnation, Fleet: d.state, Logger: d.logger,
+		LinkLimits: links,
+		Host:       d.settings.Daemon.Host, Incarnation: d.incarnation, Fleet: d.state, Logger: d.logger,
 		ReplayRetention: d.settings.Agent.ReplayRetention, ReplayBytes: d.settings.Agent.ReplayBytes,
 		MaxQueue:      d.settings.Agent.MaxQueue,
 		CrashReporter: controlClient{d.state}, OnRestart: orders.ResetLoaded,
@@ -193,6 +198,7 @@
 		MaxStreams: s.MaxStreams, RecordEvent: d.recordEvent,
 	})
 	callers := newGracefulServer(d.entry.Handler(), &d.draining, d.logger)
+	callers.protect("callers", callerLimits(s.MaxBodyBytes), d.logger, d.metrics)
 	listener, err := d.listenCallers(callers, s.Listen)
 	if err != nil {
 		return err
--- a/daemon/operations.go
+++ b/daemon/operations.go
@@ -30,7 +30,7 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	d.publishGauges()
-	server := observe.NewServer(d.metrics, d.ready, d.burnCollector)
+	server := observe.NewServer(d.metrics, d.ready, d.burnCollector, newReporter("ops", d.logger, d.metrics))
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			d.failures <- errors.Wrap(err, "serve operators")
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -157,7 +157,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.metrics)
-	go d.serve(&http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}, listener)
+	go d.serve(d.newSmallServer("metrics", mux), listener)
 }
 
 func (d *platformDaemon) serve(server *http.Server, listener net.Listener) {
@@ -202,7 +202,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
 	}
-	go d.serve(&http.Server{Handler: d.readinessHandler(g), ReadHeaderTimeout: readHeaderTimeout}, readyListener)
+	go d.serve(d.newSmallServer("readiness", d.readinessHandler(g)), readyListener)
 	// The watcher runs until the drain ends, because requests in progress need its
 	// copy of the desired state.
 	watchCtx, cancel := context.WithCancel(context.Background())
@@ -245,6 +245,7 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	server := wire.NewServer(peerListener)
+	server.SetLimits(newPeerLimits("calls", d.logger, d.metrics))
 	control, err := fleet.NewControl(fleet.ControlOptions{
 		Address: s.PeerAddress(), FailureDomain: s.FailureDomain, DataFolder: s.DataFolder, Seeds: d.seeds,
 		Bootstrap: s.FirstStart, MinVoters: roster.MinVoters(s.ToleratedLosses, s.ToleratedDomains),
@@ -257,6 +258,7 @@
 	}
 	stopping := atomic.Bool{}
 	operators := newGracefulServer(platform.OperatorHandler(control, d.logger), &stopping, d.logger)
+	operators.protect("operators", operatorLimits(), d.logger, d.metrics)
 	operatorListener, err := operators.listen(s.OperatorListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
@@ -310,6 +312,7 @@
 		return errors.Wrap(err, "listen for entries")
 	}
 	server := wire.NewServer(peerListener)
+	server.SetLimits(newPeerLimits("calls", d.logger, d.metrics))
 	watcher := fleet.NewWatcher(fleet.WatcherOptions{
 		Seeds: d.seeds, Codec: platform.Codec{}, Pool: d.pool, Logger: d.logger, FailureDomain: s.FailureDomain, Lazy: true,
 	})
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -47,12 +47,12 @@
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
 	id := e.nextRequestID()
-	g, failure := e.newGeneration(w, r, id)
+	g, failure := e.newGeneration(r, id)
 	if failure == nil {
 		failure = e.checkDrain(e.options.RequestTimeout)
 	}
 	if failure != nil {
-		writeError(w, id, failure)
+		rejectRequest(w, r, id, failure)
 		return
 	}
 	ctx, cancel := e.requestContext(r.Context(), e.options.RequestTimeout)
@@ -61,7 +61,7 @@
 }
 
 func (e *Entry) newGeneration(
-	w http.ResponseWriter, r *http.Request, id message.RequestID,
+	r *http.Request, id message.RequestID,
 ) (*generation, *verdict.Error) {
 	if e.activeRequests.Load() > int64(e.options.MaxStreams) {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonOverloaded,
@@ -71,7 +71,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	raw, failure := e.readBody(w, r)
+	raw, failure := e.readBody(r)
 	if failure != nil {
 		return nil, failure
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -38,12 +38,12 @@
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
 	id := e.nextRequestID()
-	c, failure := e.newPlainCall(w, r, id)
+	c, failure := e.newPlainCall(r, id)
 	if failure == nil {
 		failure = e.checkDrain(c.service.Timeout)
 	}
 	if failure != nil {
-		writeError(w, id, failure)
+		rejectRequest(w, r, id, failure)
 		return
 	}
 	parent := r.Context()
@@ -63,7 +63,7 @@
 }
 
 func (e *Entry) newPlainCall(
-	w http.ResponseWriter, r *http.Request, id message.RequestID,
+	r *http.Request, id message.RequestID,
 ) (*plainCall, *verdict.Error) {
 	caller, failure := e.authenticate(r)
 	if failure != nil {
@@ -74,7 +74,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownService,
 			"service %q is not a declared plain service", chi.URLParam(r, "service"))
 	}
-	body, failure := e.readBody(w, r)
+	body, failure := e.readBody(r)
 	if failure != nil {
 		return nil, failure
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"arbutusmast.example/arbutusmast/core/contract"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/verdict"
+	"arbutusmast.example/arbutusmast/netlimit"
 )
 
 // VerdictHeader is the response header that tells callers whether a request that was
@@ -57,24 +57,16 @@
 }
 
 // readBody reads the request body up to MaxBodyBytes.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(serverWriter(w), r.Body, e.options.MaxBodyBytes))
-	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInvalid, "read the request body")
-	}
-	return body, nil
-}
-
-// serverWriter returns the ResponseWriter of the HTTP server. MaxBytesReader closes the
-// connection after a body that is too large only with that one.
-func serverWriter(w http.ResponseWriter) http.ResponseWriter {
-	for {
-		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
-		if !ok {
-			return w
-		}
-		w = wrapper.Unwrap()
+func (e *Entry) readBody(r *http.Request) ([]byte, *verdict.Error) {
+	body, failure := netlimit.ReadBody(r, e.options.MaxBodyBytes)
+	switch {
+	case failure == nil:
+		return body, nil
+	case failure.Status == http.StatusServiceUnavailable:
+		return nil, verdict.Wrap(failure, verdict.NotRun, verdict.ReasonRequestMemory,
+			"read the request body").WithRetryAfter(retryAfterOverloaded)
 	}
+	return nil, verdict.Wrap(failure, verdict.NotRun, verdict.ReasonInvalid, "read the request body")
 }
 
 // httpStatus maps a reason to an HTTP status code.
@@ -127,6 +119,20 @@
 // writeError writes the error response of a request that was rejected or failed
 // before its response began.
 func writeError(w http.ResponseWriter, id message.RequestID, err *verdict.Error) {
+	setErrorHeader(w, id, err)
+	w.WriteHeader(httpStatus(err.Reason))
+	_ = json.NewEncoder(w).Encode(newErrorBody(id, err))
+}
+
+// rejectRequest is like writeError for a request whose body may not have been received.
+func rejectRequest(w http.ResponseWriter, r *http.Request, id message.RequestID, err *verdict.Error) {
+	setErrorHeader(w, id, err)
+	// An error body consists of texts and numbers, so it can be encoded.
+	body, _ := json.Marshal(newErrorBody(id, err))
+	netlimit.Answer(w, r, httpStatus(err.Reason), append(body, '\n'))
+}
+
+func setErrorHeader(w http.ResponseWriter, id message.RequestID, err *verdict.Error) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(VerdictHeader, err.Verdict.String())
@@ -137,6 +143,4 @@
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
 	}
 	setWriteDeadline(w)
-	w.WriteHeader(httpStatus(err.Reason))
-	_ = json.NewEncoder(w).Encode(newErrorBody(id, err))
 }
--- a/observe/server.go
+++ b/observe/server.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"time"
 
+	"arbutusmast.example/arbutusmast/netlimit"
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 )
@@ -20,6 +21,8 @@
 	writeTimeout      = 2 * time.Minute
 	idleTimeout       = time.Minute
 	maxHeaderBytes    = 16 << 10
+	// maxBodyBytes limits the addresses in a lookup of symbols, whose answer is longer than they.
+	maxBodyBytes = 256 << 10
 )
 
 // Ready reports whether the daemon accepts new work, and if not, why.
@@ -31,18 +34,23 @@
 }
 
 // NewServer returns a server for health, metrics, profiles and the burn report.
-// If burn is nil, /burn is not served.
-func NewServer(metrics *Metrics, ready Ready, burn http.Handler) *Server {
+// If burn is nil, /burn is not served. Refused clients are reported to the first reporter, if any.
+func NewServer(metrics *Metrics, ready Ready, burn http.Handler, reporters ...*netlimit.Reporter) *Server {
 	started := time.Now()
 	metrics.Gauge("uptime_seconds", func() float64 { return time.Since(started).Seconds() })
 	metrics.Gauge("goroutines_count", func() float64 { return float64(runtime.NumGoroutine()) })
-	return &Server{http: &http.Server{
-		Handler:           newRouter(metrics, ready, burn),
-		ReadHeaderTimeout: readHeaderTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}}
+	server := &http.Server{
+		Handler:      http.MaxBytesHandler(newRouter(metrics, ready, burn), maxBodyBytes),
+		WriteTimeout: writeTimeout,
+	}
+	limits := netlimit.SmallRequests()
+	limits.HeaderTimeout, limits.IdleTimeout, limits.MaxHeaderBytes = readHeaderTimeout, idleTimeout, maxHeaderBytes
+	reporter := netlimit.NewReporter("ops", nil, nil)
+	if len(reporters) > 0 {
+		reporter = reporters[0]
+	}
+	netlimit.Protect(server, limits, reporter)
+	return &Server{http: server}
 }
 
 func newRouter(metrics *Metrics, ready Ready, burn http.Handler) http.Handler {
