Test answers of operators that nobody reads

Each read of the desired state holds a copy of it until the operator has read it, without a timeout.

--- a/e2e/hostileclients/http_test.go
+++ b/e2e/hostileclients/http_test.go
@@ -170,3 +170,14 @@
 	sampler := crowd.Watch(m.pid())
 	check(t, m.process, sampler, maxDescriptors, func() error { return m.publish(2, 8<<20) })
 }
+
+// Guards against answers that nobody reads and that together exceed the memory of the machine.
+func TestUnreadAnswers(t *testing.T) {
+	m, version := startPlatform(t, "control", limits{memoryMB: machineMB}), 2
+	if err := m.publish(version, 8<<20); err != nil {
+		t.Fatal(err)
+	}
+	pressRaw(t, m.process, m.operators, connections, func() error { version++; return m.publish(version, 0) }, func(w *rawClient) {
+		w.writeString("GET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\nGET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\n")
+	})
+}
