Bound the memory of answers to operators

The wait for memory is 0.5 s, because operators wait 1 s for an answer. Frames of token links get a budget of M/16, since the budgets of a daemon with all roles would take three quarters of its memory. The choice of a connection to end looks at 256 connections only, so that accepting stays fast.

--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -26,6 +26,13 @@
 	minOperatorRate      = 256 << 10
 )
 
+// linkBudget returns the memory for frames of token links that are being received. Entries send short
+// ones.
+func linkBudget() int64 {
+	const divisor, smallest = 16, 4 << 20
+	return max(netlimit.Memory()/divisor, smallest)
+}
+
 // newReporter returns the reporter of refused clients of a listener.
 func newReporter(listener string, logger *zap.Logger, metrics *observe.Metrics) *netlimit.Reporter {
 	return netlimit.NewReporter(listener, logger, metrics.Counters("listener_refusals_total", maxRefusalLabels))
--- a/netlimit/body.go
+++ b/netlimit/body.go
@@ -90,6 +90,28 @@
 	return e
 }
 
+// Reserve counts n bytes for the answer of a request in addition to its body, until the handler
+// returns.
+func Reserve(r *http.Request, n int64) *BodyError {
+	state, _ := r.Context().Value(requestKey{}).(*request)
+	if state == nil || n <= 0 {
+		return nil
+	}
+	state.holding.Complete()
+	if err := state.holding.Grow(n); err != nil {
+		state.guard.reporter.Refused(ReasonNoMemory, r.RemoteAddr)
+		return &BodyError{http.StatusServiceUnavailable, ReasonNoMemory, err}
+	}
+	return nil
+}
+
+// Release ends the counting of n bytes that Reserve counted.
+func Release(r *http.Request, n int64) {
+	if state, _ := r.Context().Value(requestKey{}).(*request); state != nil && n > 0 {
+		state.holding.Shrink(n)
+	}
+}
+
 // readUncounted reads a body where no limits are enforced, as in tests of handlers.
 func readUncounted(r *http.Request, limit int64) ([]byte, *BodyError) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
--- a/netlimit/budget.go
+++ b/netlimit/budget.go
@@ -14,8 +14,9 @@
 )
 
 // roomTimeout limits the wait for the memory of other requests. Those that were refused release
-// theirs within milliseconds; it also covers short ordinary requests.
-const roomTimeout = 2 * time.Second
+// theirs within milliseconds; it also covers short ordinary requests. The platform's operators wait
+// 1 s for an answer.
+const roomTimeout = 500 * time.Millisecond
 
 // ErrNoMemory means that a request was refused because the memory for requests is used up.
 var ErrNoMemory = errors.New("the memory for requests is used up")
--- a/netlimit/conns.go
+++ b/netlimit/conns.go
@@ -25,6 +25,8 @@
 	mu    sync.Mutex
 	max   int
 	conns map[*Conn]struct{}
+	// ending is the number of connections that are about to end.
+	ending int
 }
 
 // Conn is a connection that is counted.
@@ -83,19 +85,19 @@
 // clients that were refused are still being answered.
 func (c *Conns) admit() (admission Admission, victims []*Conn) {
 	for len(c.conns) >= c.max {
-		victim, ending := c.choose()
+		victim := c.choose()
 		switch {
 		case victim != nil && victim.phase < Receiving:
 			// It is closed at once.
-			delete(c.conns, victim)
+			c.remove(victim)
 			admission, victims = Displacing, append(victims, victim)
 			continue
 		case len(c.conns) >= c.max+max(1, c.max/refusalShare):
 			return Overrun, victims
-		case len(c.conns)-ending < c.max:
+		case len(c.conns)-c.ending < c.max:
 			return admission, victims
 		case victim != nil:
-			victim.ending = true
+			c.setEnding(victim, true)
 			return Displacing, append(victims, victim)
 		}
 		return NoRoom, victims
@@ -103,18 +105,45 @@
 	return admission, victims
 }
 
-// choose returns the connection that is least worth keeping, and the number of those that end.
-func (c *Conns) choose() (victim *Conn, ending int) {
+// sampleSize is the number of connections among which the worst is chosen, so that a crowd does not
+// make accepting slow. Iterating over a map begins at a random place.
+const sampleSize = 256
+
+// choose returns the connection that is least worth keeping of those that it looks at, nil if no
+// connection may be ended.
+func (c *Conns) choose() (victim *Conn) {
+	seen := 0
 	for conn := range c.conns {
-		switch {
-		case conn.ending:
-			ending++
-		case conn.phase == Busy:
-		case victim == nil || conn.phase < victim.phase || conn.phase == victim.phase && conn.since.Before(victim.since):
+		if seen++; seen > sampleSize && victim != nil {
+			break
+		}
+		if conn.ending || conn.phase == Busy {
+			continue
+		}
+		if victim == nil || conn.phase < victim.phase || conn.phase == victim.phase && conn.since.Before(victim.since) {
 			victim = conn
 		}
 	}
-	return victim, ending
+	return victim
+}
+
+// setEnding changes whether a connection counts as about to end.
+func (c *Conns) setEnding(conn *Conn, ending bool) {
+	if _, ok := c.conns[conn]; !ok || conn.ending == ending {
+		return
+	}
+	conn.ending = ending
+	if ending {
+		c.ending++
+	} else {
+		c.ending--
+	}
+}
+
+// remove stops counting a connection.
+func (c *Conns) remove(conn *Conn) {
+	c.setEnding(conn, false)
+	delete(c.conns, conn)
 }
 
 // Count returns the number of connections.
@@ -127,7 +156,8 @@
 // Set changes the phase of a connection.
 func (c *Conn) Set(phase Phase) {
 	c.conns.mu.Lock()
-	c.phase, c.since, c.ending = phase, time.Now(), false
+	c.phase, c.since = phase, time.Now()
+	c.conns.setEnding(c, false)
 	c.conns.mu.Unlock()
 }
 
@@ -141,6 +171,6 @@
 // Remove stops counting the connection. It may be called again.
 func (c *Conn) Remove() {
 	c.conns.mu.Lock()
-	delete(c.conns.conns, c)
+	c.conns.remove(c)
 	c.conns.mu.Unlock()
 }
--- a/netlimit/http.go
+++ b/netlimit/http.go
@@ -148,23 +148,21 @@
 		control := http.NewResponseController(w)
 		if !c.hasRoom {
 			g.reporter.Refused(ReasonTooManyConns, r.RemoteAddr)
-			SetNotRun(w.Header())
+			SetNotRun(w.Header(), http.StatusServiceUnavailable)
 			g.finish(w, r, c, http.StatusServiceUnavailable, []byte("too many connections\n"))
 			return
 		}
 		c.Set(Busy)
 		defer c.reset()
-		if r.Body == nil || r.Body == http.NoBody {
-			next.ServeHTTP(w, r)
-			return
-		}
 		state := &request{guard: g, conn: c, control: control}
-		_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
 		state.holding = g.limits.Budget.Open(state.refuse)
 		defer state.holding.Close()
 		original := r.Body
 		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, state))
-		r.Body = &timedBody{ReadCloser: original, request: state, began: time.Now()}
+		if original != nil && original != http.NoBody {
+			_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
+			r.Body = &timedBody{ReadCloser: original, request: state, began: time.Now()}
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -210,6 +208,9 @@
 		b.extended = b.received
 		atRate := time.Duration(float64(b.received) / float64(limits.MinBodyRate) * float64(time.Second))
 		_ = b.request.control.SetReadDeadline(b.began.Add(limits.BodyTimeout + atRate))
+		if b.request.displaced.Load() || b.request.holding.IsRefused() {
+			b.request.refuse()
+		}
 	}
 	return n, err
 }
@@ -242,9 +243,11 @@
 	_, _ = w.Write(body)
 }
 
-// SetNotRun adds to a refusal that the request was not run, and when to send it again.
-func SetNotRun(header http.Header) {
-	header.Set("Retry-After", retryAfter)
+// SetNotRun adds to a refusal that the request was not run, and when to send it again if that helps.
+func SetNotRun(header http.Header, status int) {
+	if status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout {
+		header.Set("Retry-After", retryAfter)
+	}
 	header.Set(verdictHeader, notRun)
 }
 
