Allow more connections between daemons

A control member of the largest known deployment has 112 MB and 1,200 connections of other daemons; the bound of M/256 KiB would have refused them (313). It is M/32 KiB for them now. By arithmetic, not tried at that size.

--- a/core/bodybudget/bodybudget.go
+++ b/core/bodybudget/bodybudget.go
@@ -46,7 +46,7 @@
 // New returns a budget of a number of bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit, requests: map[ID]*request{}} }
 
-// Used returns the number of bytes that are counted, and Limit the largest one.
+// Used returns the number of bytes that are counted.
 func (b *Budget) Used() int64 { return b.used }
 
 // Limit returns the size of the budget.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -169,7 +169,7 @@
 		Logger: d.logger,
 	})
 	links := newPeerLimits("token_links", d.logger, d.metrics)
-	links.MaxConns, links.Budget = netlimit.MaxConns(linkConnShare), netlimit.NewBudget(linkBudget())
+	links.MaxConns, links.Budget = netlimit.MaxPeerConns(linkConnShare), netlimit.NewBudget(linkBudget())
 	d.agent = agent.New(agent.Options{
 		LinkLimits: links,
 		Host:       d.settings.Daemon.Host, Incarnation: d.incarnation, Fleet: d.state, Logger: d.logger,
--- a/e2e/hostileclients/http_test.go
+++ b/e2e/hostileclients/http_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"debug/elf"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"arbutusmast.example/arbutusmast/e2e/crowd"
@@ -181,3 +183,34 @@
 		w.writeString("GET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\nGET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\n")
 	})
 }
+
+// Guards against a process that exceeds its memory or does not end when it is stopped while hostile
+// clients press.
+func TestStopUnderPressure(t *testing.T) {
+	for _, l := range []struct {
+		name  string
+		start httpListener
+	}{{"platform operators", operators}, {"entry callers", entryCallers}} {
+		t.Run(l.name, func(t *testing.T) {
+			p, target, _ := l.start(t, limits{memoryMB: machineMB})
+			sampler := crowd.Watch(p.pid())
+			c := crowd.Start(target, crowd.LargeChunks, connections)
+			defer c.Close()
+			c.Settle()
+			_ = p.cmd.Process.Signal(syscall.SIGTERM)
+			more := crowd.Start(target, crowd.Announced, connections)
+			defer more.Close()
+			eventually(t, "the process has ended", func() error {
+				if p.isAlive() {
+					return errors.New("it runs")
+				}
+				return nil
+			})
+			seen := sampler.Stop()
+			t.Logf("peak memory %d MiB, %d descriptors", seen.PeakBytes>>20, seen.Descriptors)
+			if seen.PeakBytes > machineMB<<20 {
+				t.Errorf("peak memory is %d MiB, the machine has %d", seen.PeakBytes>>20, machineMB)
+			}
+		})
+	}
+}
--- a/netlimit/budget.go
+++ b/netlimit/budget.go
@@ -164,20 +164,29 @@
 	// connMemory is what a connection takes besides bodies: buffers, goroutines, and the memory of
 	// the kernel.
 	connMemory = 32 << 10
+	// clientMemoryShare is the share of the memory for the connections of clients. Those of other
+	// daemons may take all but what budgets take, because a control member of the largest known
+	// deployment has 1,200 of them and 112 MB. They take less than half of connMemory.
+	clientMemoryShare, peerMemoryShare = 1. / 8, 1.
 	// minConns is the smallest bound of connections.
 	minConns = 8
 	// unknownDescriptors stands for an unknown limit of open files.
 	unknownDescriptors = 1024
 )
 
-// MaxConns returns the bound of a listener's connections: a share of the descriptors that the
-// process may open, and not more than take an eighth of its memory.
-func MaxConns(share float64) int {
+// MaxConns returns the bound of the connections of a listener for clients: a share of the descriptors
+// that the process may open, and not more than take an eighth of its memory.
+func MaxConns(share float64) int { return maxConns(share, clientMemoryShare) }
+
+// MaxPeerConns is like MaxConns for a listener for other daemons.
+func MaxPeerConns(share float64) int { return maxConns(share, peerMemoryShare) }
+
+func maxConns(share, memoryShare float64) int {
 	descriptors := uint64(unknownDescriptors)
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil {
 		descriptors = limit.Cur
 	}
-	byDescriptors := int64(min(float64(descriptors)*share, math.MaxInt32))
-	return int(max(minConns, min(byDescriptors, Memory()/8/connMemory)))
+	byMemory := float64(Memory()) * memoryShare / connMemory
+	return int(max(minConns, min(float64(descriptors)*share, byMemory, math.MaxInt32)))
 }
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -46,7 +46,7 @@
 func DefaultLimits(reporter *netlimit.Reporter) Limits {
 	budget := netlimit.BudgetFor(MinMessageBytes)
 	return Limits{
-		MaxConns: netlimit.MaxConns(peerConnShare), MaxMessageBytes: int64(float64(budget) / messageCopiesFactor),
+		MaxConns: netlimit.MaxPeerConns(peerConnShare), MaxMessageBytes: int64(float64(budget) / messageCopiesFactor),
 		FirstTimeout: peerFirstTimeout, IdleTimeout: peerIdleTimeout, MessageTimeout: peerMessageTimeout, MinRate: peerMinRate,
 		Budget: netlimit.NewBudget(budget), Reporter: reporter,
 	}
