Count servers as cold that took no connection of a resumed generation

Only attempts that place a request reported a refused connection to the cold limiter. A generation that continues at a copy found the server down without a trace, and a request that was held back because its server asked for rest could be reported as a refused connection. send now reports it for all kinds of requests, unless the caller gave up.

TestOnlyRefusedConnectionsMakeServersCold fails without the change.

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -227,6 +227,41 @@
 	}
 }
 
+// Guards against servers that count as cold because callers gave up while the entry connected, and
+// against one that took no connection and does not count as cold, for any kind of attempt.
+func TestOnlyRefusedConnectionsMakeServersCold(t *testing.T) {
+	h, servers, _ := newColdHarness(t, &testPermits{}, noLimit)
+	parsed, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET /once/x HTTP/1.1\r\nHost: h.example\r\nT-Id: a\r\n\r\n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := h.fleet.View().Servers[0]
+	// A server that has not begun to serve keeps its listener open when it is closed.
+	u, _, err := h.gateway.send(context.Background(), target, &request{Request: parsed}, ForwardMetadata{}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.discard()
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, c := range []struct {
+		ctx  context.Context
+		copy string
+		cold bool
+	}{{canceled, "", false}, {context.Background(), "copy", true}} {
+		if c.cold {
+			_ = servers[0].Close()
+		}
+		_, result, err := h.gateway.send(c.ctx, target, &request{Request: parsed}, ForwardMetadata{Copy: c.copy}, 0)
+		if result != dispatch.NotSent || err == nil {
+			t.Errorf("%v %v", result, err)
+		}
+		if cold := len(h.gateway.cold.limited([]string{target.ID})) > 0; cold != c.cold {
+			t.Errorf("cold %v, want %v after %v", cold, c.cold, err)
+		}
+	}
+}
+
 // BenchmarkPermitWithoutColdServers measures what the bound of cold servers costs a request
 // while no server is cold: the permit and the list of servers that can get nothing.
 func BenchmarkPermitWithoutColdServers(b *testing.B) {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -286,7 +286,6 @@
 			outcome = x.outcome(server.ID, placement.NotSent)
 			break
 		}
-		x.g.cold.assumeCold(server, x.g.options.Fleet.View())
 		fallthrough
 	default:
 		outcome = x.outcome(server.ID, placement.Failed)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -110,6 +110,9 @@
 	dialer := net.Dialer{Timeout: connectTimeout, Control: wire.SocketControl(tcpUserTimeout), KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
+		if ctx.Err() == nil {
+			g.cold.assumeCold(server, g.options.Fleet.View())
+		}
 		return nil, dispatch.NotSent, errors.Wrap(err, "connect")
 	}
 	u := &upstream{server: server, sentAt: fleet.SinceBoot(), conn: conn, limited: &io.LimitedReader{R: conn, N: maxResponseHeadBytes}}
