Count servers as cold after evacuations that an entry did not see

An entry that was cut off or suspended, or that got the beginning and the end of an evacuation in one reply, took the servers of the failure domain for warm until the list showed otherwise. An end also shortened the time for which a server counted as cold because it took no connection. The view now names the ended evacuations with the revision of their end, which entries compare.

TestEndedEvacuationsMakeServersCold fails without either change.

--- a/fleet/evacuationlog_test.go
+++ b/fleet/evacuationlog_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 )
@@ -32,3 +33,24 @@
 		}
 	}
 }
+
+// Guards against a daemon that does not learn of an evacuation that began and ended between two
+// replies, or takes another order for an evacuation that ended.
+func TestEvacuationsThatEndedBetweenReplies(t *testing.T) {
+	var set failuredomain.Evacuations
+	v := &View{}
+	for i, c := range []struct {
+		orders []bool
+		want   uint64
+	}{{[]bool{true, false}, 2}, {[]bool{true, false}, 4}, {[]bool{false}, 4}, {[]bool{true}, 0}, {[]bool{false}, 6}} {
+		for _, evacuate := range c.orders {
+			set.Apply(failuredomain.Order{Domain: "a", Evacuate: evacuate, Base: set.DomainRevision("a")})
+		}
+		next := *v
+		next.applyEvacuations(&WatchReply{HasEvacuations: true, EvacuationRevision: set.Revision(), Evacuations: set.List()},
+			SinceBoot(), zap.NewNop())
+		if v = &next; v.EndedEvacuations["a"] != c.want {
+			t.Errorf("reply %d: ended at %d, want %d", i, v.EndedEvacuations["a"], c.want)
+		}
+	}
+}
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -244,7 +244,7 @@
 	if !reply.HasEvacuations || reply.EvacuationRevision <= v.evacuationRevision {
 		return false
 	}
-	evacuated := map[string]time.Duration{}
+	evacuated, ended := map[string]time.Duration{}, map[string]uint64{}
 	states := make(map[string]failuredomain.Status, len(reply.Evacuations))
 	for _, s := range reply.Evacuations {
 		old := v.evacuationStates[s.Domain]
@@ -254,12 +254,15 @@
 			if old.Evacuated && old.Changed == s.Changed {
 				evacuated[s.Domain] = v.Evacuations[s.Domain]
 			}
+		} else if s.Changed > 0 {
+			ended[s.Domain] = s.Changed
 		}
 		if s.Evacuated != old.Evacuated || s.Evacuated && s.Changed != old.Changed {
 			logEvacuation(logger, s.Domain, s.Evacuated, s.Revision)
 		}
 	}
-	v.Evacuations, v.evacuationStates, v.evacuationRevision = evacuated, states, reply.EvacuationRevision
+	v.Evacuations, v.EndedEvacuations = evacuated, ended
+	v.evacuationStates, v.evacuationRevision = states, reply.EvacuationRevision
 	return true
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -40,6 +40,9 @@
 	// Evacuations are the evacuated failure domains, with the time since boot at which this
 	// daemon learned of each evacuation.
 	Evacuations map[string]time.Duration
+	// EndedEvacuations are the failure domains whose evacuation ended, with the revision of the
+	// set at the last end. A daemon may learn of an end without having known the evacuation.
+	EndedEvacuations map[string]uint64
 	// evacuationStates are the failure domains that orders named, as of evacuationRevision.
 	evacuationStates   map[string]failuredomain.Status
 	evacuationRevision uint64
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -21,10 +21,19 @@
 type coldTimes struct {
 	// until holds the servers that are cold.
 	until map[string]time.Duration
-	// evacuations are those of the last view. assumed holds until when servers count as cold
+	// view is the last view, nil before the first. assumed holds until when servers count as cold
 	// because the evacuation of their failure domain ended, or because they took no connection.
-	evacuations map[string]time.Duration
-	assumed     map[string]time.Duration
+	view    *fleet.View
+	assumed map[string]time.Duration
+}
+
+// evacuationEnded reports whether the evacuation of a failure domain ended between the last view
+// and v. An entry that was cut off or suspended learns of the beginning and the end at once.
+func (c *coldTimes) evacuationEnded(v *fleet.View, domain string) bool {
+	if c.view == nil || v.IsEvacuated(domain) {
+		return false
+	}
+	return c.view.IsEvacuated(domain) || c.view.EndedEvacuations[domain] != v.EndedEvacuations[domain]
 }
 
 // newColdLimiter returns the limiter for servers that are cold.
@@ -83,8 +92,8 @@
 		if service == nil || service.ColdPerSecond <= 0 {
 			continue
 		}
-		if _, was := c.evacuations[server.FailureDomain]; was && !v.IsEvacuated(server.FailureDomain) {
-			c.assumed[server.ID] = now + service.ColdStart
+		if c.evacuationEnded(v, server.FailureDomain) {
+			c.assumed[server.ID] = max(c.assumed[server.ID], now+service.ColdStart)
 		}
 		until := max(server.ColdUntil, c.assumed[server.ID])
 		if until <= now {
@@ -99,7 +108,7 @@
 			cold[id] = now
 		}
 	}
-	c.until, c.evacuations = cold, v.Evacuations
+	c.until, c.view = cold, v
 	l.endCold(now)
 }
 
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -133,6 +133,35 @@
 	expectCalls(t, h, servers, 30, func(n []int64) bool { return n[0] > 2 })
 }
 
+// Guards against servers that get the requests of warm ones when an entry learns of the beginning
+// and the end of an evacuation at once, against evacuations of before the entry's start that make
+// servers cold, and against an end that shortens the time for which a server counts as cold.
+func TestEndedEvacuationsMakeServersCold(t *testing.T) {
+	h, _, _ := newColdHarness(t, &testPermits{}, noLimit)
+	ended := func(l *limiter, revision uint64) {
+		view := *h.fleet.View()
+		view.EndedEvacuations = map[string]uint64{"d0": revision}
+		l.updateCold(&view)
+	}
+	cold := func(l *limiter) []string { return l.limited([]string{"i-0", "i-1"}) }
+	options := Options{Permits: &testPermits{}, BoundsColdServers: true, Logger: zap.NewNop(), Metrics: observe.NewMetrics()}
+	started := newColdLimiter(&options)
+	for range 2 {
+		if ended(started, 2); len(cold(started)) > 0 {
+			t.Errorf("cold because of an evacuation before the start: %v", cold(started))
+		}
+	}
+	if ended(started, 4); len(cold(started)) != 1 || cold(started)[0] != "i-0" {
+		t.Errorf("cold after an evacuation that the entry did not see: %v", cold(started))
+	}
+	view := h.fleet.View()
+	started.assumeCold(view.Servers[0], view)
+	until := started.cold.assumed["i-0"]
+	if ended(started, 6); started.cold.assumed["i-0"] != until {
+		t.Errorf("cold until %v, want %v", started.cold.assumed["i-0"], until)
+	}
+}
+
 // Guards against a cold server with a limit that gets requests with a permit for only one of
 // the two.
 func TestColdServerWithLimitNeedsBothPermits(t *testing.T) {
