Let evacuated servers take no places of an entry's subset

An entry places requests on a subset of 32 servers of a service. Servers of evacuated failure domains were marked as leaving and kept their places, so an entry whose subset lies in them refused requests while other servers had room. The subset now also holds the first 32 of the servers that are not evacuated; the evacuated ones of the usual subset stay in it with their state until the evacuation ends.

TestEvacuatedServersTakeNoPlaceOfTheSubset finds no server without the change, with 5 of 400 servers outside the evacuated failure domain.

--- a/core/placement/members.go
+++ b/core/placement/members.go
@@ -33,11 +33,20 @@
 // server that is added after the first call goes through slow start.
 func (b *Balancer) SetServers(now time.Duration, servers []Server) {
 	byName, names := make(map[string]Server, len(servers)), make([]string, 0, len(servers))
+	evacuated := false
 	for _, s := range servers {
+		s.Leaving, evacuated = s.Leaving || s.Evacuated, evacuated || s.Evacuated
 		byName[s.Name] = s
 		names = append(names, s.Name)
 	}
 	candidates := Subset(b.cfg.Entry, names, b.cfg.SubsetSize)
+	if evacuated {
+		// Evacuated servers of the subset keep their state, for the end of the evacuation.
+		isOpen := func(name string) bool { return !byName[name].Evacuated }
+		candidates = slices.DeleteFunc(candidates, isOpen)
+		open := slices.DeleteFunc(names, func(name string) bool { return !isOpen(name) })
+		candidates = append(candidates, Subset(b.cfg.Entry, open, b.cfg.SubsetSize)...)
+	}
 	previous := b.servers
 	b.servers = make(map[string]*server, len(candidates))
 	b.subset = b.subset[:0]
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -25,6 +25,9 @@
 	// earlier incarnation is discarded.
 	Incarnation uint64
 	Leaving     bool
+	// Evacuated servers get no requests, like leaving ones. They take no places of the subset,
+	// because a large failure domain may hold all of its servers.
+	Evacuated bool
 }
 
 // Config holds the parameters of the placement policy. Zero fields get defaults.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"testing"
@@ -235,6 +236,34 @@
 	}
 }
 
+// Guards against requests that find no server while servers outside the evacuated failure domain
+// have room, against requests to evacuated servers, and against a subset that stays changed or
+// servers that start slowly again after the evacuation.
+func TestEvacuatedServersTakeNoPlaceOfTheSubset(t *testing.T) {
+	servers := makeServers(400)
+	for e := range 50 {
+		b := newBalancer(Config{Entry: fmt.Sprint("entry", e)}, servers)
+		before := maps.Clone(b.servers)
+		evacuated := slices.Clone(servers)
+		open := map[string]bool{}
+		for i := range evacuated {
+			if evacuated[i].Evacuated = i >= 5; !evacuated[i].Evacuated {
+				open[evacuated[i].Name] = true
+			}
+		}
+		b.SetServers(time.Second, evacuated)
+		for range 20 {
+			if name, ok := b.Choose(time.Second, Query{}); !ok || !open[name] {
+				t.Fatalf("entry %d: chose %q, %v, want one of %v", e, name, ok, open)
+			}
+		}
+		b.SetServers(2*time.Second, servers)
+		if !maps.Equal(b.servers, before) {
+			t.Fatalf("entry %d: the subset changed by an evacuation that ended", e)
+		}
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{15, 150, 810} {
 		for _, subset := range slices.Compact([]int{min(n, DefaultSubsetSize), n}) {
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -146,8 +146,8 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// updateServers replaces the servers of all services. To placement, servers of evacuated
-// failure domains are leaving; s.servers keeps them as they are, because they stay up, and
+// updateServers replaces the servers of all services. Placement chooses none of evacuated
+// failure domains; s.servers keeps them as they are, because they stay up, and
 // their failures count as evidence. The caller holds s.mu.
 func (s *serviceSet) updateServers(now time.Duration, v *fleet.View) {
 	s.servers, s.byAddress = make(map[string]backend.Server, len(v.Servers)), make(map[string]backend.Server, len(v.Servers))
@@ -159,8 +159,8 @@
 		s.servers[server.ID], s.byAddress[server.Address] = server, server
 		lists[server.Service] = append(lists[server.Service], placement.Server{
 			Name: server.ID, Distance: s.options.Regions.Distance(s.options.FailureDomain, server.FailureDomain),
-			Blocks:  declaredBlocks(v.Table, server),
-			Leaving: server.Leaving || s.notices.saysLeaving(server.ID) || v.IsEvacuated(server.FailureDomain),
+			Blocks: declaredBlocks(v.Table, server), Leaving: server.Leaving || s.notices.saysLeaving(server.ID),
+			Evacuated: v.IsEvacuated(server.FailureDomain),
 		})
 	}
 	for name, list := range lists {
