Bound the log lines of evacuation orders

The line about a refused order held the failure domain as the operator named it, which may be as long as the head of an HTTP request, 1 MiB. It now holds at most as many bytes as a valid name has. TestUnknownFailureDomain saw a line of 66,994 bytes for a name of 64 KiB without the change, and fails then.

--- a/fleet/evacuationfailures_test.go
+++ b/fleet/evacuationfailures_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"math/rand"
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +19,7 @@
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // Guards against loss of an acknowledged evacuation or of its end when all members are killed, when
@@ -314,8 +317,18 @@
 	}
 }
 
-// Guards against orders for failure domains that do not exist, at a member and at a leader.
+// Guards against orders for failure domains that do not exist, at a member and at a leader, and
+// against log lines as long as a name that is refused.
 func TestUnknownFailureDomain(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	c := &Control{options: ControlOptions{DataFolder: "d", Logger: zap.New(core)}, stateMachine: &stateMachine{},
+		metrics: controlMetrics{evacuationsRefused: &expvar.Int{}}}
+	if err := c.StartEvacuation(context.Background(), strings.Repeat("d", 1<<16)); !errors.Is(err, failuredomain.ErrUnknown) {
+		t.Errorf("order for a name of 64 KiB: %v", err)
+	}
+	if lines := logs.All(); len(lines) != 1 || len(fmt.Sprint(lines[0].ContextMap())) > 4096 {
+		t.Errorf("%d log lines, the first of %d bytes", len(lines), len(fmt.Sprint(lines[0].ContextMap())))
+	}
 	g := startEvacuationGroup(t)
 	for _, m := range g.members {
 		if err := m.StartEvacuation(context.Background(), "d"); !errors.Is(err, failuredomain.ErrUnknown) {
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -48,7 +48,9 @@
 
 // takeOrder commits an operator's order, counts it and logs what became of it.
 func (c *Control) takeOrder(ctx context.Context, domain string, evacuate bool) error {
-	logger := c.options.Logger.With(zap.String("failure_domain", domain), zap.Bool("evacuate", evacuate))
+	// A name that is refused may be as long as the head of an operator's call.
+	logger := c.options.Logger.With(
+		zap.String("failure_domain", domain[:min(len(domain), failuredomain.MaxNameBytes)]), zap.Bool("evacuate", evacuate))
 	order, err := c.newOrder(domain, evacuate)
 	var outcome failuredomain.Outcome
 	if err == nil {
