Log a desired state that cannot be decoded once

The leader decodes the desired state to know the bounds of cold servers. A state that its version of the program cannot decode was decoded again, and logged, for each permit and each server at each read of the list. The failure is now kept until the next state. TestUndecodableStateIsLoggedOnce saw 5 lines for 5 look-ups without the change.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -67,7 +67,8 @@
 		decoded, err := c.watcher.decodeDocument(document)
 		if err != nil {
 			c.options.Logger.Warn("cannot decode the desired state in force", zap.Uint64("revision", version), zap.Error(err))
-			return nil
+			// Every permit and server of the list asks for it, so it is not tried again.
+			decoded = desired.NewTable(&desired.State{Version: version})
 		}
 		table = decoded
 		c.table.Store(table)
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -8,7 +8,10 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // coldReply returns what a daemon that knows a list up to known gets, and the view after it.
@@ -111,6 +114,39 @@
 	}
 }
 
+// Guards against a log line for each permit and each server of the list while a desired state is in
+// force that this version of the program can not decode, and against a bound that stays unknown
+// with the next desired state.
+func TestUndecodableStateIsLoggedOnce(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	c := &Control{options: ControlOptions{Logger: zap.New(core)}, stateMachine: &stateMachine{onChange: func() {}},
+		watcher: NewWatcher(WatcherOptions{Codec: testCodec{}, Logger: zap.NewNop()})}
+	put := func(version uint64, document []byte) {
+		t.Helper()
+		command := desired.Command(version, document)
+		if err, failed := c.stateMachine.Apply(1, command).(error); failed {
+			t.Fatal(err)
+		}
+	}
+	put(1, []byte("not compressed"))
+	for range 5 {
+		if _, bounded := c.coldStart("s"); bounded {
+			t.Error("a service of an unknown desired state has a bound")
+		}
+	}
+	if n := logs.Len(); n != 1 {
+		t.Errorf("%d log lines", n)
+	}
+	compressed, err := compress(document(2, "one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(2, compressed)
+	if c.coldStart("s"); c.table.Load().State.Version != 2 || logs.Len() != 1 {
+		t.Errorf("version %d, %d log lines", c.table.Load().State.Version, logs.Len())
+	}
+}
+
 // BenchmarkColdPermits measures the bytes of one request for permits for a cold server.
 func BenchmarkColdPermits(b *testing.B) {
 	var request, reply bytes.Buffer
