Apply evacuations when the desired state cannot be decoded

A daemon of an earlier version, or one with a faulty decoder, dropped the whole reply to a watch with a desired state that it could not decode, and with it the evacuations, so that its entry went on sending to evacuated servers while it was in contact with the control group. The set is now applied before. The two places that call the listeners of views share one function.

TestEvacuationsReachADaemonThatCannotDecodeTheState fails without the change.

--- a/fleet/evacuationlog_test.go
+++ b/fleet/evacuationlog_test.go
@@ -54,3 +54,21 @@
 		}
 	}
 }
+
+// Guards against a daemon that learns of no evacuation while it cannot decode the desired state in
+// force, as a daemon of an earlier version.
+func TestEvacuationsReachADaemonThatCannotDecodeTheState(t *testing.T) {
+	w := NewWatcher(WatcherOptions{Codec: testCodec{}, Logger: zap.NewNop()})
+	called := 0
+	w.OnChange(func(v *View) { called++ })
+	reply := &WatchReply{Document: []byte("not compressed"), Version: 1, HasEvacuations: true, EvacuationRevision: 1,
+		Evacuations: []failuredomain.Status{{Domain: "a", Evacuated: true, Revision: 1, Changed: 1}}}
+	for range 2 {
+		if err := w.mergeReply(reply, SinceBoot()); err == nil {
+			t.Error("no error for a desired state that cannot be decoded")
+		}
+		if !w.View().IsEvacuated("a") || w.View().Table != nil || called != 1 {
+			t.Errorf("evacuated %v, %d calls of the listener", w.View().Evacuations, called)
+		}
+	}
+}
--- a/fleet/fallback.go
+++ b/fleet/fallback.go
@@ -79,7 +79,5 @@
 	w.view.Store(&next)
 	w.options.Logger.Info("read the list of backend servers from the platform without the control group",
 		zap.String("only_failure_domain", failureDomain), zap.Int("servers", len(servers)))
-	for _, listener := range w.listeners {
-		listener(&next)
-	}
+	w.notifyLocked(&next)
 }
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -293,10 +293,15 @@
 	defer w.mu.Unlock()
 	old := w.view.Load()
 	next := *old
-	changed := false
+	changed := next.applyEvacuations(reply, SinceBoot(), w.evacuationLogger)
 	if reply.Document != nil && (old.Table == nil || reply.Version > old.Version) {
 		table, err := w.decodeDocument(reply.Document)
 		if err != nil {
+			// The evacuations are in force also at a daemon that cannot decode the desired state.
+			if changed {
+				w.view.Store(&next)
+				w.notifyLocked(&next)
+			}
 			return err
 		}
 		next.Table, next.Version = table, reply.Version
@@ -313,9 +318,6 @@
 			changed = true
 		}
 	}
-	if next.applyEvacuations(reply, SinceBoot(), w.evacuationLogger) {
-		changed = true
-	}
 	if reply.HasLimits {
 		next.Limits, next.limitsStamp = make(map[string]serverlimit.Observation, len(reply.Limits)), reply.LimitsStamp
 		for server, age := range reply.Limits {
@@ -351,13 +353,18 @@
 		storeMax(&w.confirmed, sent+reply.Held-reply.ConfirmedAge)
 	}
 	if changed {
-		for _, listener := range w.listeners {
-			listener(&next)
-		}
+		w.notifyLocked(&next)
 	}
 	return nil
 }
 
+// notifyLocked calls the listeners with a new view. The caller holds w.mu.
+func (w *Watcher) notifyLocked(v *View) {
+	for _, listener := range w.listeners {
+		listener(v)
+	}
+}
+
 // decodeDocument decodes a compressed document.
 func (w *Watcher) decodeDocument(compressed []byte) (*desired.Table, error) {
 	document, err := decompress(compressed)
