--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -199,7 +199,6 @@
 		Seeds: d.seeds, Codec: platform.Codec{}, Directory: listClient(s, fallbackListShare, true, d.logger), Pool: d.pool,
 		Logger: d.logger, FailureDomain: s.FailureDomain, Entry: s.Host,
 	})
-	d.metrics.Gauge("gateway_evacuated_failure_domains_count", func() float64 { return float64(len(watcher.View().Evacuations)) })
 	g := gateway.New(gateway.Options{
 		Fleet: watcher, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
 		Locator:  &evacuate.Locator{Pool: d.pool, AgentAddress: s.AgentAddressFor},
