Send entries the loads of servers that replace evacuated ones

Members send an entry only the loads of the servers of its subset, and all of them with a changed list. Since evacuated servers take no places of the subset, the servers that replace them were unknown there, and the entry placed requests on them without their loads. The subset is now the same as at the entry, and the loads are sent with the evacuations. TestLoadsOfServersUsedInsteadOfEvacuatedOnes fails without the loads in that reply.

--- a/core/placement/members.go
+++ b/core/placement/members.go
@@ -29,24 +29,28 @@
 	return subset
 }
 
+// SubsetOutside returns the subset of an entry while some servers are evacuated: the evacuated ones
+// of its usual subset, which keep their state for the end of the evacuation, and the subset of the
+// others.
+func SubsetOutside(entry string, names []string, isEvacuated func(name string) bool, size int) []string {
+	subset := Subset(entry, names, size)
+	if !slices.ContainsFunc(names, isEvacuated) {
+		return subset
+	}
+	subset = slices.DeleteFunc(subset, func(name string) bool { return !isEvacuated(name) })
+	return append(subset, Subset(entry, slices.DeleteFunc(slices.Clone(names), isEvacuated), size)...)
+}
+
 // SetServers replaces the list of servers. Servers that remain keep their state. A
 // server that is added after the first call goes through slow start.
 func (b *Balancer) SetServers(now time.Duration, servers []Server) {
 	byName, names := make(map[string]Server, len(servers)), make([]string, 0, len(servers))
-	evacuated := false
 	for _, s := range servers {
-		s.Leaving, evacuated = s.Leaving || s.Evacuated, evacuated || s.Evacuated
+		s.Leaving = s.Leaving || s.Evacuated
 		byName[s.Name] = s
 		names = append(names, s.Name)
 	}
-	candidates := Subset(b.cfg.Entry, names, b.cfg.SubsetSize)
-	if evacuated {
-		// Evacuated servers of the subset keep their state, for the end of the evacuation.
-		isOpen := func(name string) bool { return !byName[name].Evacuated }
-		candidates = slices.DeleteFunc(candidates, isOpen)
-		open := slices.DeleteFunc(names, func(name string) bool { return !isOpen(name) })
-		candidates = append(candidates, Subset(b.cfg.Entry, open, b.cfg.SubsetSize)...)
-	}
+	candidates := SubsetOutside(b.cfg.Entry, names, func(name string) bool { return byName[name].Evacuated }, b.cfg.SubsetSize)
 	previous := b.servers
 	b.servers = make(map[string]*server, len(candidates))
 	b.subset = b.subset[:0]
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -170,6 +170,7 @@
 	c.retries = &retryGrants{slack: options.RetrySlack, window: options.RetryWindow}
 	c.metrics = newControlMetrics(options.Metrics, c)
 	c.stateMachine = &stateMachine{onChange: c.servers.notify, logger: options.Logger}
+	c.servers.evacuations = c.evacuatedDomains
 	member := options.Address
 	if options.DataFolder == "" {
 		member = ""
--- a/fleet/evacuationlog_test.go
+++ b/fleet/evacuationlog_test.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -72,3 +75,44 @@
 		}
 	}
 }
+
+// Guards against entries that do not get the loads of the servers that they use instead of evacuated
+// ones, with the reply that tells them of the evacuation.
+func TestLoadsOfServersUsedInsteadOfEvacuatedOnes(t *testing.T) {
+	l := newServerList("a")
+	var servers []backend.Server
+	for i := range 200 {
+		domain := "evacuated"
+		if i < 5 {
+			domain = "open"
+		}
+		address := fmt.Sprint("10.0.0.1:", i)
+		servers = append(servers, backend.Server{ID: fmt.Sprint("i-", i), Service: "s", Address: address, FailureDomain: domain})
+		l.recordReport(backend.Report{Address: address}, SinceBoot())
+	}
+	l.setServers(servers, SinceBoot())
+	l.publishLoads()
+	request := &WatchRequest{Entry: "e", WantsEvacuations: true}
+	openLoads := func() (n int) {
+		var reply WatchReply
+		l.fillReply(request, SinceBoot(), &reply)
+		request.List = reply.List
+		for _, r := range reply.Reports {
+			if slices.ContainsFunc(servers[:5], func(s backend.Server) bool { return s.Address == r.Address }) {
+				n++
+			}
+		}
+		return n
+	}
+	if n := openLoads(); n == 5 {
+		t.Fatal("the usual subset holds all servers outside the failure domain")
+	}
+	l.evacuations = func() (map[string]bool, uint64) { return map[string]bool{"evacuated": true}, 1 }
+	if n := openLoads(); n != 5 {
+		t.Errorf("loads of %d of the 5 servers that the entry uses", n)
+	}
+	request.Evacuations = 1
+	if n := openLoads(); n != 0 {
+		t.Errorf("%d loads sent again", n)
+	}
+}
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -202,6 +202,22 @@
 	return c.checkDomain(domain)
 }
 
+// evacuatedDomains returns the evacuated failure domains that this member knows, and the revision
+// of their set.
+func (c *Control) evacuatedDomains() (domains map[string]bool, revision uint64) {
+	c.stateMachine.withEvacuations(func(e *failuredomain.Evacuations) {
+		revision = e.Revision()
+		if e.Count() == 0 {
+			return
+		}
+		domains = map[string]bool{}
+		for _, s := range e.List() {
+			domains[s.Domain] = s.Evacuated
+		}
+	})
+	return domains, revision
+}
+
 // evacuationRevision returns the number of changes of the set that this member knows.
 func (c *Control) evacuationRevision() (revision uint64) {
 	c.stateMachine.withEvacuations(func(e *failuredomain.Evacuations) { revision = e.Revision() })
--- a/fleet/serverlist.go
+++ b/fleet/serverlist.go
@@ -31,9 +31,9 @@
 	servers *changeLog[backend.Server]
 	loads   *changeLog[backend.Report]
 	// subsets caches the addresses of the servers that each entry places on, as of the
-	// stamp's Number.
-	subsets       map[string]map[string]bool
-	subsetsNumber uint64
+	// stamp's Number and the evacuations' revision.
+	subsets                           map[string]map[string]bool
+	subsetsNumber, subsetsEvacuations uint64
 	// suspects holds the crash records and exists on the leader only. quarantined
 	// is the part of it that is published, valid at quarantinedAt.
 	suspects      *quarantine.Table
@@ -41,6 +41,8 @@
 	quarantinedAt time.Duration
 	// coldStart is nil if the deployment has no bound for cold servers.
 	coldStart backend.ColdStart
+	// evacuations returns the evacuated failure domains and the revision of their set. It may be nil.
+	evacuations func() (domains map[string]bool, revision uint64)
 	// loadsChanged is set if loads changed after the last publication.
 	loadsChanged bool
 	// change is closed and replaced at each change.
@@ -281,14 +283,16 @@
 }
 
 // fillLoads sets the loads that the sender does not know, of the servers that it places on.
-// These change with the servers, so then it sets all.
+// These change with the servers and the evacuations, so then it sets all.
 func (l *serverList) fillLoads(request *WatchRequest, known Stamp, serversSent bool, reply *WatchReply) {
 	changed, removed, complete := l.loads.since(known.Loads)
-	if reply.AllLoads = serversSent || !complete; reply.AllLoads {
+	evacuated, revision := l.evacuationsLocked()
+	evacuationsSent := request.WantsEvacuations && revision > request.Evacuations
+	if reply.AllLoads = serversSent || evacuationsSent || !complete; reply.AllLoads {
 		changed, removed = l.loads.all(), nil
 	}
 	if request.Entry != "" {
-		subset := l.subsetLocked(request.Entry)
+		subset := l.subsetLocked(request.Entry, evacuated, revision)
 		changed = slices.DeleteFunc(changed, func(r backend.Report) bool { return !subset[r.Address] })
 		removed = slices.DeleteFunc(removed, func(address string) bool { return !subset[address] })
 	}
@@ -297,9 +301,9 @@
 
 // subsetLocked returns the addresses of the servers that an entry places requests on, of the
 // services whose servers report loads. The caller holds l.mu.
-func (l *serverList) subsetLocked(entry string) map[string]bool {
-	if l.subsetsNumber != l.stamp.Number || len(l.subsets) >= maxSubsets {
-		l.subsets, l.subsetsNumber = map[string]map[string]bool{}, l.stamp.Number
+func (l *serverList) subsetLocked(entry string, evacuated map[string]bool, revision uint64) map[string]bool {
+	if l.subsetsNumber != l.stamp.Number || l.subsetsEvacuations != revision || len(l.subsets) >= maxSubsets {
+		l.subsets, l.subsetsNumber, l.subsetsEvacuations = map[string]map[string]bool{}, l.stamp.Number, revision
 	}
 	if subset := l.subsets[entry]; subset != nil {
 		return subset
@@ -312,9 +316,10 @@
 			reporting[server.value.Service] = true
 		}
 	}
+	isEvacuated := func(id string) bool { return evacuated[l.servers.values[id].value.FailureDomain] }
 	subset := map[string]bool{}
 	for service := range reporting {
-		for _, id := range placement.Subset(entry, names[service], placement.DefaultSubsetSize) {
+		for _, id := range placement.SubsetOutside(entry, names[service], isEvacuated, placement.DefaultSubsetSize) {
 			subset[addresses[id]] = true
 		}
 	}
@@ -322,6 +327,15 @@
 	return subset
 }
 
+// evacuationsLocked returns the evacuated failure domains and the revision of their set. The caller
+// holds l.mu.
+func (l *serverList) evacuationsLocked() (domains map[string]bool, revision uint64) {
+	if l.evacuations == nil {
+		return nil, 0
+	}
+	return l.evacuations()
+}
+
 // maxSubsets bounds the entries whose subsets are cached.
 const maxSubsets = 256
 
