Do not count the servers of unread failure domains as cold

A daemon without the control group reads the list of its own failure domain first and all servers after that. It took the other failure domains' servers for new ones and sent them nothing for a cold start, because it gets no permits without the group. Servers count as new only after a first whole list. TestFirstListsWithoutTheControlGroup fails without the change.

--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,6 +148,34 @@
 	}
 }
 
+// Guards against servers that count as cold because a daemon without the control group first read the
+// list of its own failure domain, and against new servers there that do not.
+func TestFirstListsWithoutTheControlGroup(t *testing.T) {
+	w := NewWatcher(WatcherOptions{Codec: testCodec{}, Logger: zap.NewNop()})
+	w.view.Store(&View{Table: desired.NewTable(&desired.State{Services: []desired.Service{
+		{Name: "s", ColdStart: time.Minute, ColdPerSecond: 5}}})})
+	var list []backend.Server
+	for i, read := range []struct{ added, domain, cold string }{
+		{"own", "d0", ""}, {"other", "", ""}, {"new", "", "new"}, {"", "", "new"}} {
+		if read.added != "" {
+			list = append(list, backend.Server{ID: read.added, Service: "s", Address: read.added, FailureDomain: "d1"})
+		}
+		if i == 0 {
+			list[0].FailureDomain = "d0"
+		}
+		w.setFallbackList(slices.Clone(list), read.domain, SinceBoot())
+		cold := ""
+		for _, server := range w.View().Servers {
+			if server.ColdUntil > SinceBoot() {
+				cold += server.ID
+			}
+		}
+		if len(w.View().Servers) != len(list) || cold != read.cold {
+			t.Errorf("read %d: %d servers, %q cold, want %q", i, len(w.View().Servers), cold, read.cold)
+		}
+	}
+}
+
 // BenchmarkColdPermits measures the bytes of one request for permits for a cold server.
 func BenchmarkColdPermits(b *testing.B) {
 	var request, reply bytes.Buffer
--- a/fleet/fallback.go
+++ b/fleet/fallback.go
@@ -63,7 +63,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := *w.view.Load()
-	servers = backend.MarkCold(SinceBoot(), servers, next.Servers, next.Servers == nil, next.coldStart)
+	// Before the first whole list, the servers of other failure domains are not new but unknown.
+	servers = backend.MarkCold(SinceBoot(), servers, next.Servers, w.listRead.Load() == 0, next.coldStart)
 	if failureDomain == "" {
 		if !storeMax(&w.listRead, readAt) {
 			return
