State the cause of a refused order once

The leader's refusal already ended with the cause, to which the member that took the order added it again. TestUnknownFailureDomain fails without the change.

--- a/fleet/evacuationfailures_test.go
+++ b/fleet/evacuationfailures_test.go
@@ -347,7 +347,8 @@
 	}
 	var reply EvacuateReply
 	request := &EvacuateRequest{failuredomain.Order{Domain: "another", Evacuate: true}}
-	if err := (&service{m.Control}).Evacuate(request, &reply); err != nil || reply.Refused == "" {
-		t.Errorf("the leader takes the 65th failure domain: %+v, %v", reply, err)
+	if err := (&service{m.Control}).Evacuate(request, &reply); err != nil || reply.Refused == "" ||
+		strings.Contains(reply.Refused, failuredomain.ErrUnknown.Error()) {
+		t.Errorf("the leader takes the 65th failure domain, or repeats the cause: %+v, %v", reply, err)
 	}
 }
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/failuredomain"
@@ -182,7 +183,8 @@
 		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "this member does not lead"))
 	}
 	if err := c.checkUnlisted(request.Order.Domain); err != nil {
-		reply.Refused = err.Error()
+		// The member that took the order wraps ErrUnknown again.
+		reply.Refused = strings.TrimSuffix(err.Error(), ": "+failuredomain.ErrUnknown.Error())
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), evacuateTimeout)
