--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/failuredomain"
@@ -48,7 +49,9 @@
 
 // takeOrder commits an operator's order, counts it and logs what became of it.
 func (c *Control) takeOrder(ctx context.Context, domain string, evacuate bool) error {
-	logger := c.options.Logger.With(zap.String("failure_domain", domain), zap.Bool("evacuate", evacuate))
+	// A name that is refused may be as long as the head of an operator's call.
+	logger := c.options.Logger.With(
+		zap.String("failure_domain", domain[:min(len(domain), failuredomain.MaxNameBytes)]), zap.Bool("evacuate", evacuate))
 	order, err := c.newOrder(domain, evacuate)
 	var outcome failuredomain.Outcome
 	if err == nil {
@@ -180,7 +183,8 @@
 		return rpcError(verdict.New(verdict.NotRun, verdict.ReasonNoQuorum, "this member does not lead"))
 	}
 	if err := c.checkUnlisted(request.Order.Domain); err != nil {
-		reply.Refused = err.Error()
+		// The member that took the order wraps ErrUnknown again.
+		reply.Refused = strings.TrimSuffix(err.Error(), ": "+failuredomain.ErrUnknown.Error())
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), evacuateTimeout)
@@ -200,6 +204,22 @@
 	return c.checkDomain(domain)
 }
 
+// evacuatedDomains returns the evacuated failure domains that this member knows, and the revision
+// of their set.
+func (c *Control) evacuatedDomains() (domains map[string]bool, revision uint64) {
+	c.stateMachine.withEvacuations(func(e *failuredomain.Evacuations) {
+		revision = e.Revision()
+		if e.Count() == 0 {
+			return
+		}
+		domains = map[string]bool{}
+		for _, s := range e.List() {
+			domains[s.Domain] = s.Evacuated
+		}
+	})
+	return domains, revision
+}
+
 // evacuationRevision returns the number of changes of the set that this member knows.
 func (c *Control) evacuationRevision() (revision uint64) {
 	c.stateMachine.withEvacuations(func(e *failuredomain.Evacuations) { revision = e.Revision() })
@@ -244,7 +264,7 @@
 	if !reply.HasEvacuations || reply.EvacuationRevision <= v.evacuationRevision {
 		return false
 	}
-	evacuated := map[string]time.Duration{}
+	evacuated, ended := map[string]time.Duration{}, map[string]uint64{}
 	states := make(map[string]failuredomain.Status, len(reply.Evacuations))
 	for _, s := range reply.Evacuations {
 		old := v.evacuationStates[s.Domain]
@@ -254,12 +274,15 @@
 			if old.Evacuated && old.Changed == s.Changed {
 				evacuated[s.Domain] = v.Evacuations[s.Domain]
 			}
+		} else if s.Changed > 0 {
+			ended[s.Domain] = s.Changed
 		}
 		if s.Evacuated != old.Evacuated || s.Evacuated && s.Changed != old.Changed {
 			logEvacuation(logger, s.Domain, s.Evacuated, s.Revision)
 		}
 	}
-	v.Evacuations, v.evacuationStates, v.evacuationRevision = evacuated, states, reply.EvacuationRevision
+	v.Evacuations, v.EndedEvacuations = evacuated, ended
+	v.evacuationStates, v.evacuationRevision = states, reply.EvacuationRevision
 	return true
 }
 
--- a/fleet/fallback.go
+++ b/fleet/fallback.go
@@ -63,7 +63,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := *w.view.Load()
-	servers = backend.MarkCold(SinceBoot(), servers, next.Servers, next.Servers == nil, next.coldStart)
+	// Before the first whole list, the servers of other failure domains are not new but unknown.
+	servers = backend.MarkCold(SinceBoot(), servers, next.Servers, w.listRead.Load() == 0, next.coldStart)
 	if failureDomain == "" {
 		if !storeMax(&w.listRead, readAt) {
 			return
@@ -79,7 +80,5 @@
 	w.view.Store(&next)
 	w.options.Logger.Info("read the list of backend servers from the platform without the control group",
 		zap.String("only_failure_domain", failureDomain), zap.Int("servers", len(servers)))
-	for _, listener := range w.listeners {
-		listener(&next)
-	}
+	w.notifyLocked(&next)
 }
