--- a/e2e/hostileclients/http_test.go
+++ b/e2e/hostileclients/http_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"arbutusmast.example/arbutusmast/e2e/crowd"
+	"arbutusmast.example/arbutusmast/platform"
 )
 
 const (
@@ -63,7 +64,7 @@
 
 func operators(t *testing.T, l limits) (*process, crowd.Target, func() error) {
 	m, version := startPlatform(t, "control", l), 1
-	return m.process, crowd.Target{Address: m.operators, Path: "/Config.Put", MaxBodyBytes: 8 << 20, MaxHeaderBytes: maxHeaderBytes},
+	return m.process, crowd.Target{Address: m.operators, Path: platform.PutStatePath, MaxBodyBytes: 8 << 20, MaxHeaderBytes: maxHeaderBytes},
 		func() error { version++; return m.publish(version, 0) }
 }
 
@@ -180,7 +181,7 @@
 		t.Fatal(err)
 	}
 	pressRaw(t, m.process, m.operators, connections, func() error { version++; return m.publish(version, 0) }, func(w *rawClient) {
-		w.writeString("GET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\nGET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\n")
+		w.writeString(strings.Repeat("GET "+platform.GetStatePath+" HTTP/1.1\r\nHost: x\r\n\r\n", 2))
 	})
 }
 
--- a/e2e/hostileclients/systems_test.go
+++ b/e2e/hostileclients/systems_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"arbutusmast.example/arbutusmast/platform"
 )
 
 // ordinaryTimeout only ends a call that hangs.
@@ -115,7 +117,7 @@
 func (m *platformMember) publish(version, bytes int) error {
 	text := fmt.Sprintf(desiredState, version)
 	text += strings.Repeat(" ", max(0, bytes-len(text)))
-	return ordinaryCall("POST", "http://"+m.operators+"/Config.Put", text, http.StatusOK)
+	return ordinaryCall("POST", "http://"+m.operators+platform.PutStatePath, text, http.StatusOK)
 }
 
 const declaration = `
