Send the agent's first frame before the entry's arrives

The Hello goes out first again; the queues are still made with the entry's first frame. TestLinkBeginsWithHello fails without the change; measure/capacity, agent and entry pass, the latter two with the race detector, and the tests of e2e/hostileclients for frames, links and TLS.

--- a/agent/link.go
+++ b/agent/link.go
@@ -98,7 +98,19 @@
 	}
 }
 
-// begin starts to send after the first frame of the entry. Clients that send none get no queues.
+// sendHello sends the first frame of the link. With TLS, the deadline also limits the handshake.
+func (c *linkConn) sendHello() error {
+	if err := c.conn.SetDeadline(time.Now().Add(link.LivenessTimeout)); err != nil {
+		return err
+	}
+	writer := wire.NewFrameWriter(c.conn, link.LivenessTimeout)
+	if err := writer.Write(&message.Frame{Hello: &message.Hello{Header: c.agent.options.Fleet.Header()}}); err != nil {
+		return err
+	}
+	return writer.Flush()
+}
+
+// begin starts to send streams after the first frame of the entry. Clients that send none get no queues.
 func (c *linkConn) begin() {
 	c.ready, c.replies = ring.New[*subscription](maxLinkStreams), ring.New[*message.Frame](maxLinkStreams)
 	c.counted.Set(netlimit.Busy)
@@ -140,6 +152,10 @@
 func (c *linkConn) readLoop() {
 	defer c.close()
 	defer c.counted.Remove()
+	if err := c.sendHello(); err != nil {
+		c.reportEnd(err)
+		return
+	}
 	reader := wire.NewFrameReader(c.conn, link.LivenessTimeout)
 	reader.Limit(c.limits.Budget)
 	for first := true; ; first = false {
@@ -248,10 +264,6 @@
 	defer c.close()
 	writer := wire.NewFrameWriter(c.conn, link.LivenessTimeout)
 	live := link.NewLiveness(time.Now())
-	if writer.Write(&message.Frame{Hello: &message.Hello{Header: c.agent.options.Fleet.Header()}}) != nil ||
-		writer.Flush() != nil {
-		return
-	}
 	ticker := time.NewTicker(link.HeartbeatInterval / 4)
 	defer ticker.Stop()
 	for {
