Reserve memory at cold servers with a permit of its own

Cause: cold servers got generations without a reservation, because a reservation is a request. Where engines are replaced all the time, the new ones are cold and empty, so they took more than they have memory for, and preempted. Change: the reservation takes the permit of the choice, the generation another one; below 10 requests a second there is none as before.

TestReservationsAtColdServers fails without the change.

The harness of the tests of cold servers has a longer header timeout: with 300 ms, TestServersThatTookNoConnectionCountAsCold failed once at a load of 20, because its caller sent the first byte too late.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -136,8 +136,14 @@
 		SentAt: now, ReceivedAt: now}, fromCold)
 }
 
+// minReservingRate is the rate of a cold server, in requests per second, from which generations
+// reserve memory there. The reservation and the generation take a permit each, and at low rates the
+// second one comes too late for the reservation.
+const minReservingRate = 10
+
 // permit reports whether the request may be sent to a server, and whether the server has a
-// limit or is cold. A cold server with a limit needs a permit for each.
+// limit, or is so cold that it gets no reservations. A cold server with a limit needs a permit
+// for each.
 func (x *exchange) permit(ctx context.Context, server backend.Server) (permitted, limited bool) {
 	x.permitUntil = 0
 	permitted, limited, _ = x.g.limits.permit(ctx, server, false)
@@ -146,7 +152,25 @@
 	}
 	permitted, cold, until := x.g.cold.permit(ctx, server, false)
 	x.permitUntil = until
-	return permitted, limited || cold
+	return permitted, limited || cold && !x.reservesAtCold(server)
+}
+
+// reservesAtCold reports whether generations reserve memory at a server while it is cold.
+func (x *exchange) reservesAtCold(server backend.Server) bool {
+	service := x.g.table().Service(server.Service)
+	return service != nil && service.ColdPerSecond >= minReservingRate
+}
+
+// permitReserved reports whether a generation may be sent to a server that has reserved memory for
+// it. A cold server counted the reservation as a request, so the generation needs another permit. A
+// reservation that is not used ends by itself.
+func (x *exchange) permitReserved(ctx context.Context, server backend.Server) bool {
+	if x.permitUntil == 0 {
+		return true
+	}
+	permitted, _, until := x.g.cold.permit(ctx, server, true)
+	x.permitUntil = until
+	return permitted
 }
 
 // permitResume waits until a generation may continue at a server, and returns how long the
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -30,6 +30,9 @@
 	h.fleet.set(func(f *testFleet) {
 		state := *f.view.Table.State
 		state.Services = []desired.Service{{Name: "s", ColdStart: 300 * time.Millisecond, ColdPerSecond: 5}}
+		// On a busy machine, a caller may send its first byte later than the 300 ms of other tests after it
+		// connected, and then finds the connection closed.
+		state.Limits.HeaderTimeout = 10 * time.Second
 		view := *f.view
 		view.Table = desired.NewTable(&state)
 		f.view = &view
@@ -302,3 +305,48 @@
 		}
 	}
 }
+
+// Guards against generations that queue at a cold engine without a reservation although its rate
+// leaves room for one, and are preempted later, and against reservations and generations that
+// together exceed the permits.
+func TestReservationsAtColdServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		perSecond               float64
+		permits, calls          int
+		reservations, delivered int
+	}{
+		"enough permits":                    {33, 20, 5, 5, 5},
+		"no permit for the generation":      {33, 1, 1, 1, 0},
+		"a rate that is too low to reserve": {5, 20, 5, 0, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, reserver := newTestServer(t, streamReservation), &testReserver{free: map[string]bool{"i-0": true}}
+			permits := &testPermits{left: c.permits}
+			h := newEngineHarness(t, reserver, server)
+			h.gateway.cold.source = permits
+			h.fleet.set(func(f *testFleet) {
+				state := *f.view.Table.State
+				state.Services = []desired.Service{{Name: "s", ColdStart: time.Second, ColdPerSecond: c.perSecond,
+					Engine: &desired.Engine{MemoryTokens: 30000, CanReserve: true}}}
+				f.view = &fleet.View{Table: desired.NewTable(&state), Version: 2, Servers: f.view.Servers}
+			})
+			setCold(h, time.Hour, "i-0")
+			delivered := 0
+			for range c.calls {
+				status, header, _, err := h.call("/stream/x")
+				if err != nil || status != http.StatusOK && header.Get(verdictHeader) != "not_run" {
+					t.Errorf("%d %v %v", status, header, err)
+				}
+				if status == http.StatusOK {
+					delivered++
+				}
+			}
+			if len(reserver.asked) != c.reservations || delivered != c.delivered || int(server.count.Load()) != c.delivered {
+				t.Errorf("%d reservations, %d arrivals, %d generations delivered", len(reserver.asked), server.count.Load(), delivered)
+			}
+			if arrived := len(reserver.asked) + int(server.count.Load()); arrived > c.permits {
+				t.Errorf("%d arrivals with %d permits", arrived, c.permits)
+			}
+		})
+	}
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -77,9 +77,9 @@
 // place chooses a server and returns the name of a reservation there, if any. For a
 // generation it reserves memory first, because load reports are stale when they
 // arrive and all entries read the same ones. If no server has enough free memory,
-// the generation queues at the first choice. A server with a limit gets the
-// generation without a reservation, which would count against the limit too, and so does
-// the one server to which a suspected part isolates it.
+// the generation queues at the first choice. A server with a limit, or with a low rate while it
+// is cold, gets the generation without a reservation, which would count against the limit too, and
+// so does the one server to which a suspected part isolates it.
 func (x *exchange) place(ctx context.Context) (backend.Server, string, bool) {
 	query := placement.Query{Priority: x.priority, Blocks: x.blocks, Exclude: append([]string(nil), x.tried...),
 		IsolationKey: x.g.parts.isolationKey(x.metadata.Parts)}
@@ -95,7 +95,7 @@
 	for {
 		reservation, err := x.g.options.Reserver.Reserve(ctx, server, x.reservedTokens())
 		x.g.observeNotice(server, reservation.Notice)
-		if err == nil && reservation.Name != "" {
+		if err == nil && reservation.Name != "" && x.permitReserved(ctx, server) {
 			if server.ID != first.ID {
 				x.reportResult(first.ID, placement.Canceled)
 			}
