Let core/intake decide for all listeners

core/bodybudget and core/intake decided separately who is refused when the memory for requests is used up, in different orders, and the former did not consider addresses.

core/bodybudget keeps the accounting and asks intake.Choose. Holdings get the remote address without its port and report the bytes that arrive. Requests that wait for memory do not lag, and one that is refused while it waits wakes at once. Nobody is refused in vain. A segment is no larger than the announced rest: a body of 12 KiB counted as 24 KiB, which is too much to displace one of 56 KiB by the factor of four (TestUnfinishedBodiesGiveWay, unchanged).

--- a/core/bodybudget/bodybudget.go
+++ b/core/bodybudget/bodybudget.go
@@ -1,12 +1,14 @@
-// Package bodybudget decides whose request is refused when the memory for the requests that a
-// listener receives is used up. Time is a parameter.
+// Package bodybudget counts the memory of the requests that a listener receives. When it is used up,
+// intake.Choose decides whose request is refused. Time is a parameter.
 package bodybudget
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
 
-// StallTime is the time without a byte after which an unfinished request is refused first. It is
-// longer than a lost packet takes to be sent again a few times.
-const StallTime = time.Second
+	"arbutusmast.example/arbutusmast/core/intake"
+)
 
 // ID names a request.
 type ID uint64
@@ -26,10 +28,13 @@
 )
 
 type request struct {
-	id    ID
-	bytes int64
-	// progressed is when the last bytes arrived.
-	progressed time.Time
+	address string
+	bytes   int64
+	// received is the number of bytes that arrived, the last of them at lastRead.
+	received        int64
+	began, lastRead time.Time
+	// waiting is set while the request is not read because it waits for memory.
+	waiting bool
 	// complete requests are being served. They are never refused.
 	complete bool
 	// refused requests hold their memory until Close.
@@ -52,10 +57,10 @@
 // Limit returns the size of the budget.
 func (b *Budget) Limit() int64 { return b.limit }
 
-// Open adds a request that holds nothing yet.
-func (b *Budget) Open(now time.Time) ID {
+// Open adds a request that holds nothing yet. The address is that of the client, without a port.
+func (b *Budget) Open(now time.Time, address string) ID {
 	b.lastID++
-	b.requests[b.lastID] = &request{id: b.lastID, progressed: now}
+	b.requests[b.lastID] = &request{address: address, began: now, lastRead: now}
 	return b.lastID
 }
 
@@ -89,77 +94,85 @@
 	}
 }
 
-// Progress records that bytes of a request have arrived.
-func (b *Budget) Progress(now time.Time, id ID) {
+// Progress records that n bytes of a request have arrived.
+func (b *Budget) Progress(now time.Time, id ID, n int) {
 	if r, ok := b.requests[id]; ok {
-		r.progressed = now
+		r.received += int64(n)
+		r.lastRead = now
+	}
+}
+
+// EndWait records that a request is read again, or given up, after Grow returned Wait.
+func (b *Budget) EndWait(now time.Time, id ID) {
+	if r, ok := b.requests[id]; ok && r.waiting {
+		r.waiting, r.lastRead = false, now
 	}
 }
 
-// Grow asks for n more bytes for a request. If there is no room, it chooses an unfinished request to
-// refuse: the one that made no progress for the longest time, at least StallTime, and otherwise the
-// largest, with the bytes asked for. So one small request is received beside any number of large
-// ones. The chosen request is returned with the outcome Wait, until enough of them were chosen; its
-// memory is counted until Close.
-func (b *Budget) Grow(now time.Time, id ID, n int64) (verdict Verdict, refused ID) {
+// Grow asks for n more bytes for a request. If there is no room, it returns the unfinished requests
+// to refuse with the outcome Wait, in the order of intake.Choose; their memory is counted until
+// Close. The caller asks again when memory was released or the request itself was refused, and
+// calls EndWait if it does not ask again.
+func (b *Budget) Grow(now time.Time, id ID, n int64) (verdict Verdict, refused []ID) {
 	r, ok := b.requests[id]
 	if !ok || r.refused || r.bytes+n > b.limit {
-		return Refused, 0
+		return Refused, nil
 	}
+	b.EndWait(now, id)
 	if b.used+n <= b.limit {
 		r.bytes += n
 		b.used += n
-		return Granted, 0
+		return Granted, nil
 	}
-	victim, releasing := b.choose(now, r, n)
-	if b.used+n-releasing <= b.limit {
-		return Wait, 0
-	}
-	switch {
-	case victim == nil:
-		// All memory is held by requests that are being served.
-		return Wait, 0
-	case victim == r:
-		r.refused = true
-		return Refused, 0
+	if need := b.used + n - b.limit - b.releasing(); need > 0 {
+		refused, ok = b.choose(now, id, need)
+		// A complete request is never refused. It waits for those that are being served.
+		if !ok && !r.complete {
+			r.refused = true
+			return Refused, nil
+		}
+		for _, victim := range refused {
+			b.requests[victim].refused = true
+		}
 	}
-	victim.refused = true
-	return Wait, victim.id
+	r.waiting = true
+	return Wait, refused
 }
 
-// choose returns the request to refuse, and the bytes of those that were refused before.
-func (b *Budget) choose(now time.Time, asking *request, n int64) (victim *request, releasing int64) {
-	isWorse := func(r, than *request) bool {
-		if than == nil {
-			return true
-		}
-		stalled, otherStalled := now.Sub(r.progressed) >= StallTime, now.Sub(than.progressed) >= StallTime
-		if stalled != otherStalled {
-			return stalled
-		}
-		if stalled && !r.progressed.Equal(than.progressed) {
-			return r.progressed.Before(than.progressed)
-		}
-		size, otherSize := r.bytes, than.bytes
-		if r == asking {
-			size += n
+// releasing returns the memory of requests that were refused before.
+func (b *Budget) releasing() int64 {
+	sum := int64(0)
+	for _, r := range b.requests {
+		if r.refused {
+			sum += r.bytes
 		}
-		if than == asking {
-			otherSize += n
+	}
+	return sum
+}
+
+// choose returns the requests to refuse so that need bytes are freed, or false if there are too few.
+// All unfinished requests give way to a complete one.
+func (b *Budget) choose(now time.Time, id ID, need int64) ([]ID, bool) {
+	asking := intake.None
+	var open []ID
+	var requests []intake.Request
+	// Requests of equal age are told apart by their position.
+	for _, other := range slices.Sorted(maps.Keys(b.requests)) {
+		r := b.requests[other]
+		if r.refused || r.complete || other != id && r.bytes == 0 {
+			continue
 		}
-		if size != otherSize {
-			return size > otherSize
+		if other == id {
+			asking = len(open)
 		}
-		return r.id > than.id
+		open = append(open, other)
+		requests = append(requests, intake.Request{Began: r.began.Sub(now), LastRead: r.lastRead.Sub(now),
+			Received: r.received, Held: r.bytes, Waiting: r.waiting, Address: r.address})
 	}
-	for _, r := range b.requests {
-		switch {
-		case r.refused:
-			releasing += r.bytes
-		case r.complete || r != asking && r.bytes == 0:
-		case isWorse(r, victim):
-			victim = r
-		}
+	victims, ok := intake.Choose(0, need, asking, requests)
+	var refused []ID
+	for _, i := range victims {
+		refused = append(refused, open[i])
 	}
-	return victim, releasing
+	return refused, ok
 }
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -1,5 +1,6 @@
-// Package intake decides whose request is refused when the memory of an entry is used up. It does
-// no I/O and reads no clock.
+// Package intake decides whose request is refused when the memory for requests is used up, for the
+// platform's entry (package gateway) and for all other listeners (package netlimit, which counts with
+// core/bodybudget). It does no I/O and reads no clock.
 package intake
 
 import (
--- a/netlimit/body.go
+++ b/netlimit/body.go
@@ -53,7 +53,7 @@
 	}
 	state.conn.SetEnd(state.displace)
 	state.conn.Set(Receiving)
-	s := segments{holding: state.holding}
+	s := segments{holding: state.holding, announced: r.ContentLength}
 	err := s.read(r.Body, limit)
 	var body []byte
 	if err == nil {
@@ -130,11 +130,17 @@
 	full    [][]byte
 	last    []byte
 	size    int64
+	// announced is the number of bytes that the client announced, or negative if it did not.
+	announced int64
 }
 
-// add takes memory for another segment.
+// add takes memory for another segment, not more than the announced rest: otherwise a small request
+// would count as much larger than it is when intake.Choose compares it with others.
 func (s *segments) add() error {
 	n := min(maxSegment, max(firstSegment, 2*cap(s.last)))
+	if rest := s.announced - s.size; rest > 0 {
+		n = int(min(int64(n), rest))
+	}
 	if err := s.holding.Grow(int64(n)); err != nil {
 		return err
 	}
@@ -153,6 +159,7 @@
 	for ; n == 0 && err == nil; n, err = from.Read(first[:]) {
 	}
 	if n > 0 {
+		s.holding.Progress(n)
 		if limit < 1 {
 			return &BodyError{http.StatusRequestEntityTooLarge, ReasonTooLarge, errTooLarge(limit)}
 		}
@@ -162,6 +169,13 @@
 		s.last, s.size = append(s.last, first[0]), 1
 	}
 	for err == nil {
+		if s.size == s.announced {
+			// Nothing but the end may follow, for which no memory is taken.
+			if n, err = from.Read(first[:]); n > 0 {
+				return errors.New("more bytes arrived than were announced")
+			}
+			continue
+		}
 		if len(s.last) == cap(s.last) {
 			if err := s.add(); err != nil {
 				return err
@@ -173,7 +187,7 @@
 			return &BodyError{http.StatusRequestEntityTooLarge, ReasonTooLarge, errTooLarge(limit)}
 		}
 		if n > 0 {
-			s.holding.Progress()
+			s.holding.Progress(n)
 		}
 	}
 	if err == io.EOF {
--- a/netlimit/budget.go
+++ b/netlimit/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"net"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -26,7 +27,7 @@
 	mu     sync.Mutex
 	core   *bodybudget.Budget
 	refuse map[bodybudget.ID]func()
-	// released is closed and replaced when memory is released.
+	// released is closed and replaced when memory is released or requests are refused.
 	released chan struct{}
 }
 
@@ -51,35 +52,38 @@
 	id     bodybudget.ID
 }
 
-// Open adds a request. refuse is called, with the budget locked, when the request is chosen to be
-// refused. It must not block, and must end a read in progress.
-func (b *Budget) Open(refuse func()) *Holding {
+// Open adds a request of a client. refuse is called, with the budget locked, when the request is
+// chosen to be refused. It must not block, and must end a read in progress.
+func (b *Budget) Open(client net.Addr, refuse func()) *Holding {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	id := b.core.Open(time.Now())
+	id := b.core.Open(time.Now(), hostOf(client))
 	b.refuse[id] = refuse
 	return &Holding{b, id}
 }
 
+// hostOf returns the address without its port.
+func hostOf(address net.Addr) string {
+	if address == nil {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(address.String())
+	if err != nil {
+		return address.String()
+	}
+	return host
+}
+
 // Grow counts n more bytes. It waits a short time for room and returns ErrNoMemory if there is none.
 func (h *Holding) Grow(n int64) error {
 	var timeout <-chan time.Time
 	for {
-		h.budget.mu.Lock()
-		verdict, refused := h.budget.core.Grow(time.Now(), h.id, n)
-		if refused != 0 {
-			h.budget.refuse[refused]()
-		}
-		released := h.budget.released
-		h.budget.mu.Unlock()
-		switch {
-		case verdict == bodybudget.Granted:
+		verdict, released := h.tryGrow(n)
+		switch verdict {
+		case bodybudget.Granted:
 			return nil
-		case verdict == bodybudget.Refused:
+		case bodybudget.Refused:
 			return ErrNoMemory
-		case refused != 0:
-			// The room may need the memory of more requests.
-			continue
 		}
 		if timeout == nil {
 			timeout = time.After(roomTimeout)
@@ -87,11 +91,31 @@
 		select {
 		case <-released:
 		case <-timeout:
+			h.budget.mu.Lock()
+			h.budget.core.EndWait(time.Now(), h.id)
+			h.budget.mu.Unlock()
 			return ErrNoMemory
 		}
 	}
 }
 
+// tryGrow asks for n more bytes and refuses the requests that give way. The channel is closed when it
+// is worth to ask again.
+func (h *Holding) tryGrow(n int64) (bodybudget.Verdict, <-chan struct{}) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	verdict, refused := b.core.Grow(time.Now(), h.id, n)
+	for _, id := range refused {
+		b.refuse[id]()
+	}
+	if len(refused) > 0 {
+		// A refused request that waits for memory holds its own until it asks again.
+		b.wake()
+	}
+	return verdict, b.released
+}
+
 // IsRefused reports whether the request was chosen to be refused.
 func (h *Holding) IsRefused() bool {
 	h.budget.mu.Lock()
@@ -99,10 +123,10 @@
 	return h.budget.core.Refused(h.id)
 }
 
-// Progress records that bytes have arrived.
-func (h *Holding) Progress() {
+// Progress records that n bytes have arrived.
+func (h *Holding) Progress(n int) {
 	h.budget.mu.Lock()
-	h.budget.core.Progress(time.Now(), h.id)
+	h.budget.core.Progress(time.Now(), h.id, n)
 	h.budget.mu.Unlock()
 }
 
--- a/netlimit/frames.go
+++ b/netlimit/frames.go
@@ -11,7 +11,7 @@
 // ReadSegments reads size bytes into memory that is taken from holding as they arrive. The caller
 // closes holding.
 func ReadSegments(holding *Holding, from io.Reader, size int64) ([][]byte, error) {
-	s := segments{holding: holding}
+	s := segments{holding: holding, announced: size}
 	if err := s.read(io.LimitReader(from, size), size); err != nil {
 		return nil, err
 	}
--- a/netlimit/http.go
+++ b/netlimit/http.go
@@ -155,7 +155,7 @@
 		c.Set(Busy)
 		defer c.reset()
 		state := &request{guard: g, conn: c, control: control}
-		state.holding = g.limits.Budget.Open(state.refuse)
+		state.holding = g.limits.Budget.Open(c.conn.RemoteAddr(), state.refuse)
 		defer state.holding.Close()
 		original := r.Body
 		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, state))
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -108,7 +108,7 @@
 		return r.body[:size], err
 	}
 	if r.budget != nil {
-		holding := r.budget.Open(func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
+		holding := r.budget.Open(r.conn.RemoteAddr(), func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
 		defer holding.Close()
 		parts, err := netlimit.ReadSegments(holding, r.in, int64(size))
 		if err == nil {
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -227,7 +227,7 @@
 		}
 		return nil
 	}
-	r.holding = r.limits.Budget.Open(func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
+	r.holding = r.limits.Budget.Open(r.conn.RemoteAddr(), func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
 	parts, err := netlimit.ReadSegments(r.holding, &rateReader{reader: r, began: time.Now()}, size)
 	if err != nil {
 		return err
