Count the lines of heads at the entry

A head of 16 KiB in lines of six bytes took 251,061 bytes when it was parsed, and 61,440 were counted for it (measured by TestShortHeaderLinesAreCounted before the change). 314 connections, the bound of an entry with 64 MB, could hold 79 MB that way with 19 MB counted, until their bodies were over time. Each line beyond 32 counts as 128 bytes now: 406,656 bytes are counted for the same head.

--- a/gateway/head.go
+++ b/gateway/head.go
@@ -28,13 +28,18 @@
 	// headCopies is how many times the bytes of a head are held while it is parsed: as read, as
 	// text and in the headers.
 	headCopies = 3
+	// ordinaryHeadLines is the number of lines of a head that connectionBytes includes.
+	ordinaryHeadLines = 32
+	// headLineBytes is what each further line takes beside its text: an entry of the headers with
+	// its strings. 92 bytes were measured for lines of six bytes.
+	headLineBytes = 128
 )
 
 // readHead reads a request head up to and including the empty line. Lines must end
 // in CRLF, because parsers that accept other line ends see different requests.
 func readHead(r *bufio.Reader, limit int64, memory *requestMemory) ([]byte, error) {
 	var head []byte
-	counted := ordinaryHeadBytes
+	counted, lines := ordinaryHeadBytes, 0
 	for {
 		line, err := r.ReadSlice('\n')
 		head = append(head, line...)
@@ -56,12 +61,16 @@
 		if !bytes.HasSuffix(head, []byte("\r\n")) {
 			return nil, errMalformed
 		}
+		lines++
 		if bytes.HasSuffix(head, []byte("\r\n\r\n")) {
-			return head, nil
+			if lines <= ordinaryHeadLines {
+				return head, nil
+			}
+			return head, memory.take(int64(headLineBytes * (lines - ordinaryHeadLines)))
 		}
 		if len(head) == 2 {
 			// An empty line before a request is ignored, as RFC 9112 recommends.
-			head = head[:0]
+			head, lines = head[:0], 0
 		}
 	}
 }
--- a/gateway/head_test.go
+++ b/gateway/head_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 )
 
 const requestStart = "POST /a/b HTTP/1.1\r\nHost: h.example\r\n"
@@ -111,3 +114,45 @@
 		}
 	})
 }
+
+// shortLines returns a head of at most size bytes whose lines are as short as possible, each with a name of its own.
+func shortLines(size int) string {
+	var b strings.Builder
+	b.WriteString("POST /u/x HTTP/1.1\r\n")
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	for i := 0; b.Len()+7 < size; i++ {
+		b.WriteString(string([]byte{letters[i%26], letters[i/26%26], letters[i/676%26]}) + ":\r\n")
+	}
+	return b.String() + "\r\n"
+}
+
+// Guards against heads of many short lines, whose headers take many times the memory that is counted for them.
+func TestShortHeaderLinesAreCounted(t *testing.T) {
+	const heads, size = 200, 16 << 10
+	b := newMemoryBudget(1<<30, func() time.Duration { return 0 })
+	text := shortLines(size)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var kept []*http.Request
+	for range heads {
+		m := b.begin("a", func() {})
+		head, err := readHead(bufio.NewReaderSize(strings.NewReader(text), readBufferBytes), size, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, _, err := parseHead(head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept = append(kept, r)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	held, counted := int64(after.HeapAlloc-before.HeapAlloc), b.inUse()+heads*connectionBytes
+	t.Logf("%d bytes held for each head of %d lines, %d counted", held/heads, strings.Count(text, "\n"), counted/heads)
+	if held > counted {
+		t.Errorf("%d heads hold %d bytes, and %d are counted", heads, held, counted)
+	}
+	runtime.KeepAlive(kept)
+}
