Do not refuse requests that hold no memory

At the platform's entry a request with an ordinary head holds nothing until its body begins. When a larger request needed memory, younger ones that held nothing were refused with 503 before any that held some, which freed no memory. intake.Choose leaves them out now, as core/bodybudget did for the other listeners. Both cases that were added to TestChoose failed before.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -75,7 +75,7 @@
 		}
 		return freed >= need
 	}
-	lagging, others := split(now, requests)
+	lagging, others := split(now, asking, requests)
 	if take(lagging) {
 		return victims, true
 	}
@@ -88,12 +88,15 @@
 	return nil, false
 }
 
-// split returns the requests that hold memory: those that lag, in the order in which they are
-// refused, and the others, youngest first.
-func split(now time.Duration, requests []Request) (lagging, others []int) {
+// split returns the asking request and those that hold memory: those that lag, in the order in which
+// they are refused, and the others, youngest first. Refusing one that holds nothing frees nothing.
+func split(now time.Duration, asking int, requests []Request) (lagging, others []int) {
 	lags := make([]time.Duration, len(requests))
 	byAddress := map[string]int64{}
 	for i := range requests {
+		if requests[i].Held <= 0 && i != asking {
+			continue
+		}
 		lag, isLagging := requests[i].lag(now)
 		lags[i] = lag
 		if isLagging {
