Release the memory of a refused message at once

A message that was refused or stopped short of its end stayed counted until the calls in progress on its connection had ended, because net/rpc waits for them before it closes the connection. A call may last for minutes, such as a generation. Meanwhile messages of other peers waited 0.5 s for that memory and were refused. Without the change, TestRefusedMessageIsReleasedBesideACall times out after 10 s with the memory counted.

--- a/wire/limits.go
+++ b/wire/limits.go
@@ -114,6 +114,8 @@
 	if len(r.pending) == 0 {
 		if err := r.next(); err != nil {
 			r.report(err)
+			// The connection may stay for long, until its calls in progress end.
+			r.release()
 			return 0, err
 		}
 	}
--- a/wire/limits_test.go
+++ b/wire/limits_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"net/rpc"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -86,6 +88,68 @@
 	}
 }
 
+// waitingService has calls that end when they are told to.
+type waitingService struct{ arrived, release chan struct{} }
+
+func (s waitingService) Wait(_ int, reply *int) error {
+	s.arrived <- struct{}{}
+	<-s.release
+	*reply = 1
+	return nil
+}
+
+// startWaiting serves with limits, and returns a connection with a call in progress.
+func startWaiting(t *testing.T, limits Limits) (conn net.Conn, address string, s waitingService) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(listener)
+	server.SetLimits(limits)
+	s = waitingService{make(chan struct{}, 1), make(chan struct{})}
+	if err := errors.Join(server.Register("Waiting", s), server.Register("Test", repeater{})); err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve()
+	t.Cleanup(server.Close)
+	if conn, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	codec := newGobCodec(conn, conn, conn)
+	if err := codec.write(&rpc.Request{ServiceMethod: "Waiting.Wait", Seq: 1}, 1); err != nil {
+		t.Fatal(err)
+	}
+	<-s.arrived
+	return conn, listener.Addr().String(), s
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+// Guards against the memory of a refused message that stays counted until the calls in progress on
+// its connection end, so that other peers are refused for it.
+func TestRefusedMessageIsReleasedBesideACall(t *testing.T) {
+	limits := testWireLimits()
+	limits.MessageTimeout = 200 * time.Millisecond
+	conn, _, s := startWaiting(t, limits)
+	defer close(s.release)
+	// A message of 1 MiB that stops short of its end.
+	if _, err := conn.Write(append([]byte{0xfd, 0x10, 0, 0}, make([]byte, 64<<10)...)); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the message is counted", func() bool { return limits.Budget.Used() > 0 })
+	await(t, "the message is released", func() bool { return limits.Budget.Used() == 0 })
+}
+
 // Guards against a server that stops accepting for good when it runs out of descriptors.
 func TestServerSurvivesFailedAccepts(t *testing.T) {
 	address := serveLimited(t, testWireLimits(), 3)
