Keep a connection with calls in progress while its next message arrives

A connection for calls counted as receiving from the first byte of a message on, also while calls were in progress on it, and as idle from the end of a call on, also while a message arrived. At the bound it was given up for a new connection in both cases, and the replies of its calls were lost, although such connections are never to be given up. The phase now follows from the calls in progress and the message together. TestCallInProgressKeepsItsConnection (the reply ended with EOF) and TestReceivingConnectionIsNotIdle failed before.

--- a/wire/codec.go
+++ b/wire/codec.go
@@ -137,7 +137,7 @@
 		return err
 	}
 	c.server.activeCalls.Add(1)
-	c.reader.calls.Add(1)
+	c.reader.addCalls(1)
 	c.lastRequest.Store(time.Now().UnixNano())
 	if c.server.refusing.Load() {
 		c.refused.Store(r.Seq + 1)
@@ -153,7 +153,7 @@
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	if r.ServiceMethod != pingMethod {
 		defer c.server.activeCalls.Add(-1)
-		defer c.endCall()
+		defer c.reader.addCalls(-1)
 	}
 	if r.Seq+1 == c.refused.Load() {
 		r.Error = refusal
@@ -168,10 +168,3 @@
 	}
 	return err
 }
-
-// endCall is called after the reply to a call was written.
-func (c *serverCodec) endCall() {
-	if c.reader.calls.Add(-1) == 0 {
-		c.reader.setWaiting()
-	}
-}
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"io"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"arbutusmast.example/arbutusmast/netlimit"
@@ -92,17 +92,40 @@
 	pending [][]byte
 	buffer  []byte
 	first   bool
-	// calls is the number of calls in progress.
-	calls atomic.Int64
+
+	mu sync.Mutex
+	// receiving is set while a message arrives, and calls is the number of calls in progress.
+	receiving bool
+	calls     int
+}
+
+// setReceiving records whether a message arrives.
+func (r *messageReader) setReceiving(receiving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.receiving = receiving
+	r.setPhase()
+}
+
+// addCalls records that a call began, or ended if n is negative.
+func (r *messageReader) addCalls(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls += n
+	r.setPhase()
 }
 
-// setWaiting records that the connection waits for a message or for the end of its calls.
-func (r *messageReader) setWaiting() {
-	phase := netlimit.Idle
-	if r.calls.Load() > 0 {
-		phase = netlimit.Busy
+// setPhase sets the phase of the connection. One with calls in progress is busy also while a message
+// arrives, because its replies would be lost. The caller holds r.mu.
+func (r *messageReader) setPhase() {
+	switch {
+	case r.calls > 0:
+		r.counted.Set(netlimit.Busy)
+	case r.receiving:
+		r.counted.Set(netlimit.Receiving)
+	default:
+		r.counted.Set(netlimit.Idle)
 	}
-	r.counted.Set(phase)
 }
 
 func newMessageReader(conn net.Conn, limits *Limits, counted *netlimit.Conn) *messageReader {
@@ -163,7 +186,7 @@
 		if r.first {
 			wait = r.limits.FirstTimeout
 		} else {
-			r.setWaiting()
+			r.setReceiving(false)
 		}
 		_ = r.conn.SetReadDeadline(time.Now().Add(wait))
 	}
@@ -171,7 +194,7 @@
 		return err
 	}
 	if !r.first {
-		r.counted.Set(netlimit.Receiving)
+		r.setReceiving(true)
 	}
 	_ = r.conn.SetReadDeadline(time.Now().Add(r.limits.MessageTimeout))
 	length, size, err := r.readLength()
--- a/wire/limits_test.go
+++ b/wire/limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -150,6 +151,56 @@
 	await(t, "the message is released", func() bool { return limits.Budget.Used() == 0 })
 }
 
+// Guards against a connection with a call in progress that is given up for a new one while its next
+// message arrives, so that the reply to the call is lost.
+func TestCallInProgressKeepsItsConnection(t *testing.T) {
+	limits := testWireLimits()
+	limits.MaxConns = 1
+	conn, address, s := startWaiting(t, limits)
+	if _, err := conn.Write([]byte{0x20, 'a'}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if _, err := callEcho(address, []byte("data")); err == nil {
+		t.Error("another connection was accepted beyond the bound")
+	}
+	close(s.release)
+	if n, err := conn.Read(make([]byte, 64)); err != nil {
+		t.Errorf("the reply to the call in progress: %d bytes, %v", n, err)
+	}
+}
+
+// Guards against a connection that counts as idle while a message arrives, because a call ended
+// meanwhile, and is given up before those that sent nothing for longer.
+func TestReceivingConnectionIsNotIdle(t *testing.T) {
+	limits := testWireLimits()
+	limits.MaxConns = 2
+	conn, address, s := startWaiting(t, limits)
+	if _, err := conn.Write([]byte{0x20, 'a'}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(s.release)
+	if _, err := conn.Read(make([]byte, 1024)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	idle := NewClient(address, nil)
+	defer idle.Close()
+	var reply []byte
+	if err := idle.Call(t.Context(), "Test.Echo", []byte("data"), &reply); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if _, err := callEcho(address, []byte("data")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := conn.Read(make([]byte, 64)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection whose message arrives: %v, want that it stays open", err)
+	}
+}
+
 // Guards against a server that stops accepting for good when it runs out of descriptors.
 func TestServerSurvivesFailedAccepts(t *testing.T) {
 	address := serveLimited(t, testWireLimits(), 3)
