Bound the definitions of types on a connection for calls

The gob decoder keeps every type that a client defines until the connection ends, whether or not a call uses it, and they were not counted: one connection could fill the memory of a process with messages of a few bytes. Beyond 32 KiB the connection is closed. Daemons send far less: the largest sum on a connection was 1,099 bytes in the tests of fleet, control, evacuate and platform (TestFailingServersAreFoundByAllEntries, TestEvac*) and 850 in 339 records of the tests TestEvac* and TestControl* of e2e. TestTypeDefinitionsAreBounded failed without the check: the connection was open after 128 KiB.

--- a/wire/limits.go
+++ b/wire/limits.go
@@ -72,10 +72,16 @@
 // ErrMessageTooLarge is returned for a message that exceeds the limit.
 var ErrMessageTooLarge = errors.New("message is larger than the limit")
 
+// ErrTypesTooLarge is returned for a message that defines types beyond the limit of its connection.
+var ErrTypesTooLarge = errors.New("the definitions of types are larger than the limit")
+
 const (
 	// smallMessageBytes is the size of a message that is not counted. Its buffer belongs to the
 	// connection.
 	smallMessageBytes = 8 << 10
+	// maxTypeBytes limits the definitions of types on one connection, which the decoder keeps until
+	// the connection ends. Daemons sent at most 1,099 bytes of them in tests.
+	maxTypeBytes = 32 << 10
 	// maxLengthBytes is the size of the length of a gob message.
 	maxLengthBytes = 9
 )
@@ -92,6 +98,8 @@
 	pending [][]byte
 	buffer  []byte
 	first   bool
+	// typeBytes is the size of the messages that define types.
+	typeBytes int64
 
 	mu sync.Mutex
 	// receiving is set while a message arrives, and calls is the number of calls in progress.
@@ -163,7 +171,7 @@
 	switch {
 	case errors.Is(err, netlimit.ErrNoMemory), r.holding != nil && r.holding.IsRefused():
 		r.limits.Reporter.Refused(netlimit.ReasonNoMemory, client)
-	case errors.Is(err, ErrMessageTooLarge):
+	case errors.Is(err, ErrMessageTooLarge), errors.Is(err, ErrTypesTooLarge):
 		r.limits.Reporter.Refused(netlimit.ReasonTooLarge, client)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		r.limits.Reporter.Refused(netlimit.ReasonFrameTimeout, client)
@@ -208,9 +216,26 @@
 		return err
 	}
 	r.first = false
+	if len(r.pending) > 1 && definesType(r.pending[1]) {
+		r.typeBytes += int64(size)
+		if r.typeBytes > maxTypeBytes {
+			return ErrTypesTooLarge
+		}
+	}
 	return nil
 }
 
+// definesType reports whether a gob message defines a type: the number at its beginning, the id of
+// the type, is negative then. A number has its sign in the lowest bit.
+func definesType(message []byte) bool {
+	last := 0
+	if message[0] > 0x7f {
+		// The first byte is the negated number of bytes that follow.
+		last = -int(int8(message[0]))
+	}
+	return last < len(message) && message[last]&1 == 1
+}
+
 // readLength reads the length of a message, and returns its bytes too.
 func (r *messageReader) readLength() ([]byte, uint64, error) {
 	length := make([]byte, 1, maxLengthBytes)
--- a/wire/limits_test.go
+++ b/wire/limits_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
 	"io"
 	"net"
 	"net/rpc"
 	"os"
+	"reflect"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -256,3 +258,44 @@
 		t.Error(err)
 	}
 }
+
+// defineType returns a gob message that defines a type with an id of its own: an array of integers.
+func defineType(t *testing.T, number int) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	if err := gob.NewEncoder(&out).EncodeValue(reflect.New(reflect.ArrayOf(number, reflect.TypeOf(0))).Elem()); err != nil {
+		t.Fatal(err)
+	}
+	return out.Next(1 + int(out.Bytes()[0]))
+}
+
+// Guards against definitions of types without end, which the decoder of a connection keeps although
+// no call uses them.
+func TestTypeDefinitionsAreBounded(t *testing.T) {
+	address := serveLimited(t, testWireLimits(), 0)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := io.ReadAll(conn)
+		ended <- err
+	}()
+	for sent, i := 0, 1; sent < 4*maxTypeBytes; i++ {
+		definition := defineType(t, i)
+		if definition[0] > 0x7f || !definesType(definition[1:]) {
+			t.Fatalf("not a definition: %x", definition)
+		}
+		if _, err := conn.Write(definition); err != nil {
+			break
+		}
+		sent += len(definition)
+	}
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Errorf("the connection is open after %d bytes of definitions", 4*maxTypeBytes)
+	}
+}
