Refuse a request that was chosen to be refused at its last byte

A request could be chosen to be refused, for its memory or its connection, between the read of its last byte and the moment from which it is served. It was served then, although its memory counted as about to be released, and the end of the read that refuses it canceled its context while it ran. Completing a request now fails if it was chosen before, and it is answered 503 and not run. Messages between daemons are treated alike.

--- a/core/bodybudget/bodybudget.go
+++ b/core/bodybudget/bodybudget.go
@@ -72,11 +72,15 @@
 	}
 }
 
-// Complete marks a request as received.
-func (b *Budget) Complete(id ID) {
-	if r, ok := b.requests[id]; ok {
-		r.complete = true
+// Complete marks a request as received, so that it is not refused anymore. It returns false if it was
+// refused before.
+func (b *Budget) Complete(id ID) bool {
+	r, ok := b.requests[id]
+	if !ok || r.refused {
+		return false
 	}
+	r.complete = true
+	return true
 }
 
 // Refused reports whether a request was chosen to be refused.
--- a/netlimit/body.go
+++ b/netlimit/body.go
@@ -60,8 +60,9 @@
 		body, err = s.join()
 	}
 	if err == nil {
-		state.holding.Complete()
-		state.conn.Set(Busy)
+		err = state.complete()
+	}
+	if err == nil {
 		return body, nil
 	}
 	var failure *BodyError
@@ -69,8 +70,8 @@
 	case errors.As(err, &failure):
 	case errors.Is(err, ErrNoMemory) || state.holding.IsRefused():
 		failure = &BodyError{http.StatusServiceUnavailable, ReasonNoMemory, ErrNoMemory}
-	case state.displaced.Load():
-		failure = &BodyError{http.StatusServiceUnavailable, ReasonDisplaced, errors.New("too many connections")}
+	case errors.Is(err, errDisplaced), state.displaced.Load():
+		failure = &BodyError{http.StatusServiceUnavailable, ReasonDisplaced, errDisplaced}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		failure = &BodyError{http.StatusRequestTimeout, ReasonBodyTimeout, errors.New("the body did not arrive in time")}
 	default:
@@ -80,6 +81,21 @@
 	return nil, state.refusal(r, failure)
 }
 
+// errDisplaced means that a request was refused because its connection was given up for another one.
+var errDisplaced = errors.New("too many connections")
+
+// complete ends the time in which the request can be refused. It fails if the request was chosen
+// before: the end of its read, which may come later, would end the request while it is served.
+func (r *request) complete() error {
+	if err := r.holding.Complete(); err != nil {
+		return err
+	}
+	if !r.conn.Serve() {
+		return errDisplaced
+	}
+	return nil
+}
+
 // refusal releases the memory of a request that is refused.
 func (r *request) refusal(of *http.Request, e *BodyError) *BodyError {
 	if r != nil {
@@ -97,8 +113,11 @@
 	if state == nil || n <= 0 {
 		return nil
 	}
-	state.holding.Complete()
-	if err := state.holding.Grow(n); err != nil {
+	err := state.holding.Complete()
+	if err == nil {
+		err = state.holding.Grow(n)
+	}
+	if err != nil {
 		state.guard.reporter.Refused(ReasonNoMemory, r.RemoteAddr)
 		return &BodyError{http.StatusServiceUnavailable, ReasonNoMemory, err}
 	}
--- a/netlimit/budget.go
+++ b/netlimit/budget.go
@@ -130,11 +130,15 @@
 	h.budget.mu.Unlock()
 }
 
-// Complete marks the request as received, so that it is not refused anymore.
-func (h *Holding) Complete() {
+// Complete marks the request as received, so that it is not refused anymore. It returns ErrNoMemory if
+// it was refused before.
+func (h *Holding) Complete() error {
 	h.budget.mu.Lock()
-	h.budget.core.Complete(h.id)
-	h.budget.mu.Unlock()
+	defer h.budget.mu.Unlock()
+	if !h.budget.core.Complete(h.id) {
+		return ErrNoMemory
+	}
+	return nil
 }
 
 // Shrink releases n bytes.
--- a/netlimit/conns.go
+++ b/netlimit/conns.go
@@ -161,6 +161,17 @@
 	c.conns.mu.Unlock()
 }
 
+// Serve changes the phase to Busy, unless the connection was chosen to be given up.
+func (c *Conn) Serve() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.ending {
+		return false
+	}
+	c.phase, c.since = Busy, time.Now()
+	return true
+}
+
 // SetEnd changes how the connection is ended.
 func (c *Conn) SetEnd(end func()) {
 	c.conns.mu.Lock()
--- a/netlimit/http_test.go
+++ b/netlimit/http_test.go
@@ -235,3 +235,68 @@
 		}
 	}
 }
+
+// bodyEnd is a body that calls atEnd when its last bytes have been read.
+type bodyEnd struct {
+	io.ReadCloser
+	atEnd func()
+}
+
+func (b *bodyEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.atEnd != nil {
+		b.atEnd()
+		b.atEnd = nil
+	}
+	return n, err
+}
+
+// Guards against a request that is served although it was chosen to be refused when its last bytes
+// arrived: the end of the read that refuses it cancels its context, and its memory counts as about to
+// be released.
+func TestRefusedAtTheLastByte(t *testing.T) {
+	for name, refuse := range map[string]func(*request){
+		"for memory":         refuseForMemory,
+		"for its connection": func(s *request) { s.guard.conns.Add(func() {}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := testLimits()
+			limits.MaxConns = 1
+			served := false
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				state := r.Context().Value(requestKey{}).(*request)
+				r.Body = &bodyEnd{r.Body, func() { refuse(state) }}
+				body, failure := ReadBody(r, testBodyLimit)
+				if failure != nil {
+					SetNotRun(w.Header(), failure.Status)
+					Answer(w, r, failure.Status, []byte(failure.Error()))
+					return
+				}
+				served = true
+				_, _ = w.Write(body)
+			})}
+			Protect(server, limits, NewReporter("test", nil, nil))
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = server.Serve(listener) }()
+			t.Cleanup(func() { _ = server.Close() })
+			conn := dialTest(t, listener.Addr().String())
+			if _, err := io.WriteString(conn, head(4)+"data"); err != nil {
+				t.Fatal(err)
+			}
+			if response, _ := readAnswer(t, conn); response.StatusCode != http.StatusServiceUnavailable || served {
+				t.Errorf("%s, served %v, want a refusal", response.Status, served)
+			}
+		})
+	}
+}
+
+// refuseForMemory makes an older request that is much larger than the one of s need its memory.
+func refuseForMemory(s *request) {
+	budget := s.guard.limits.Budget
+	answer := budget.Open(s.conn.conn.RemoteAddr(), func() {})
+	_ = answer.Complete()
+	_, _ = answer.tryGrow(budget.Limit() - 1)
+}
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -286,7 +286,9 @@
 	if err := r.holding.Grow(size); err != nil {
 		return err
 	}
-	r.holding.Complete()
+	if err := r.holding.Complete(); err != nil {
+		return err
+	}
 	r.pending = append(r.pending, parts...)
 	return nil
 }
