Answer connections beyond the bound although others follow

At listeners of net/http an eighth more connections than the bound are accepted to answer 503. Such a connection counted as one that had sent nothing, so the next one beyond the bound took its place and it was closed without an answer, before the eighth was used. They now count as about to end, and the oldest gives way only when the eighth is used up. TestRefusedConnectionsAreAnswered failed before.

--- a/netlimit/conns.go
+++ b/netlimit/conns.go
@@ -36,8 +36,10 @@
 	since time.Time
 	// end closes the connection, or answers and closes it.
 	end func()
-	// ending is set while a client that was still sending is answered.
+	// ending is set while a client is answered that was still sending, or for which there is no room.
 	ending bool
+	// refused is set for a connection for which there is no room.
+	refused bool
 }
 
 // refusalShare is the share of connections above the bound that are answered that there is no room.
@@ -73,6 +75,8 @@
 	}
 	if admission != Overrun {
 		c.conns[added] = struct{}{}
+		added.refused = admission == NoRoom
+		c.setEnding(added, added.refused)
 	}
 	c.mu.Unlock()
 	for _, end := range ends {
@@ -93,7 +97,13 @@
 			admission, victims = Displacing, append(victims, victim)
 			continue
 		case len(c.conns) >= c.max+max(1, c.max/refusalShare):
-			return Overrun, victims
+			oldest := c.oldestRefused()
+			if oldest == nil {
+				return Overrun, victims
+			}
+			c.remove(oldest)
+			victims = append(victims, oldest)
+			continue
 		case len(c.conns)-c.ending < c.max:
 			return admission, victims
 		case victim != nil:
@@ -127,6 +137,16 @@
 	return victim
 }
 
+// oldestRefused returns the connection without room that waits for longest, nil if there is none.
+func (c *Conns) oldestRefused() (oldest *Conn) {
+	for conn := range c.conns {
+		if conn.refused && (oldest == nil || conn.since.Before(oldest.since)) {
+			oldest = conn
+		}
+	}
+	return oldest
+}
+
 // setEnding changes whether a connection counts as about to end.
 func (c *Conns) setEnding(conn *Conn, ending bool) {
 	if _, ok := c.conns[conn]; !ok || conn.ending == ending {
