Accept again after a lack of memory of the kernel

The entry ended, and servers of net/http (callers and operators of INI daemons, operators, readiness and metrics of the platform) stopped accepting for good, when an accept failed with ENOBUFS, ENOMEM, EPROTO or EPERM: net counts only a lack of descriptors as temporary. Calls between daemons and token links tried again already; all listeners do now.

--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusmast.example/arbutusmast/netlimit"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -27,6 +28,7 @@
 	http     *http.Server
 	draining *atomic.Bool
 	logger   *zap.Logger
+	reporter *netlimit.Reporter
 	// cancelRequests ends the contexts of all requests.
 	cancelRequests context.CancelFunc
 	// listener is nil before the server listens, and accepted is closed when it has accepted
@@ -57,7 +59,7 @@
 func newGracefulServer(handler http.Handler, draining *atomic.Bool, logger *zap.Logger) *gracefulServer {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &gracefulServer{draining: draining, logger: logger, cancelRequests: cancel, accepted: make(chan struct{}),
-		conns: map[net.Conn]*httpConn{}}
+		reporter: netlimit.NewReporter("http", logger, nil), conns: map[net.Conn]*httpConn{}}
 	s.http = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		Handler:     s.announceClose(handler), ReadHeaderTimeout: readHeaderTimeout,
@@ -171,7 +173,7 @@
 // serve serves the connections of listener until shutdown.
 func (s *gracefulServer) serve(listener net.Listener) error {
 	defer close(s.accepted)
-	err := s.http.Serve(listener)
+	err := s.http.Serve(netlimit.Retry(listener, s.reporter))
 	if errors.Is(err, http.ErrServerClosed) || s.listener.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -59,7 +59,8 @@
 
 // protect makes the server enforce limits and publishes the memory that its requests hold.
 func (s *gracefulServer) protect(listener string, limits netlimit.Limits, logger *zap.Logger, metrics *observe.Metrics) {
-	netlimit.Protect(s.http, limits, newReporter(listener, logger, metrics))
+	s.reporter = newReporter(listener, logger, metrics)
+	netlimit.Protect(s.http, limits, s.reporter)
 	metrics.Gauge(listener+"_request_memory_bytes", func() float64 { return float64(limits.Budget.Used()) })
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -19,6 +19,7 @@
 	"arbutusmast.example/arbutusmast/evacuate"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/gateway"
+	"arbutusmast.example/arbutusmast/netlimit"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/platform"
 	"arbutusmast.example/arbutusmast/wire"
@@ -175,7 +176,8 @@
 }
 
 func (d *platformDaemon) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	reporter := newReporter("http", d.logger, d.metrics)
+	if err := server.Serve(netlimit.Retry(listener, reporter)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.logger.Warn("HTTP server failed", zap.String("address", listener.Addr().String()), zap.Error(err))
 	}
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"arbutusmast.example/arbutusmast/netlimit"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -20,13 +21,12 @@
 	defer g.accepting.Done()
 	for {
 		conn, err := listener.Accept()
-		var temporary interface{ Temporary() bool }
 		switch {
 		case err == nil:
 			g.startConnection(conn)
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
-		case errors.As(err, &temporary) && temporary.Temporary():
+		case netlimit.Passes(err):
 			g.logger.Warn("could not accept a connection, retrying", zap.Error(err))
 			time.Sleep(acceptRetryDelay)
 		default:
--- a/netlimit/frames.go
+++ b/netlimit/frames.go
@@ -27,21 +27,36 @@
 // Accept accepts a connection. It tries again after an error that passes, such as a lack of
 // descriptors, and returns false when the listener is closed or broken.
 func Accept(listener net.Listener, reporter *Reporter) (net.Conn, bool) {
+	conn, err := Retry(listener, reporter).Accept()
+	return conn, err == nil
+}
+
+// Retry returns a listener that tries again to accept after an error that passes. Servers of net/http
+// do so only after some of them, and stop accepting after others, such as a lack of memory of the
+// kernel.
+func Retry(listener net.Listener, reporter *Reporter) net.Listener {
+	return &retryListener{listener, reporter}
+}
+
+type retryListener struct {
+	net.Listener
+	reporter *Reporter
+}
+
+// Accept implements net.Listener.
+func (l *retryListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := listener.Accept()
-		if err == nil {
-			return conn, true
-		}
-		if !passes(err) {
-			return nil, false
+		conn, err := l.Listener.Accept()
+		if err == nil || !Passes(err) {
+			return conn, err
 		}
-		reporter.Refused(ReasonDescriptors, err.Error())
+		l.reporter.Refused(ReasonDescriptors, err.Error())
 		time.Sleep(acceptRetryDelay)
 	}
 }
 
-// passes reports whether an error of Accept does not concern the listener itself.
-func passes(err error) bool {
+// Passes reports whether an error of Accept does not concern the listener itself.
+func Passes(err error) bool {
 	for _, passing := range []error{
 		syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.EPROTO,
 	} {
--- a/observe/server.go
+++ b/observe/server.go
@@ -30,7 +30,8 @@
 
 // Server is the HTTP server of the operators' listener.
 type Server struct {
-	http *http.Server
+	http     *http.Server
+	reporter *netlimit.Reporter
 }
 
 // NewServer returns a server for health, metrics, profiles and the burn report.
@@ -50,7 +51,7 @@
 		reporter = reporters[0]
 	}
 	netlimit.Protect(server, limits, reporter)
-	return &Server{http: server}
+	return &Server{http: server, reporter: reporter}
 }
 
 func newRouter(metrics *Metrics, ready Ready, burn http.Handler) http.Handler {
@@ -85,7 +86,7 @@
 
 // Serve accepts connections on listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(listener)
+	err := s.http.Serve(netlimit.Retry(listener, s.reporter))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
