End connections whose clients read no answers

Connections on which a request is served are never given up. Answers of readiness, metrics and the platform's operators (except desired states) had no write deadline, nor had those of unknown paths at INI entries. A client that sent requests one behind another and read nothing kept its connection for good, and as many as the bound kept everybody else out: all others got 503. What is left of an answer when its handler returns now has 30 s, readiness and metrics 10 s in all. TestUnreadAnswersEnd timed out after 20 s before.

--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -24,6 +24,8 @@
 	callerBodyTimeout    = 30 * time.Second
 	minCallerRate        = 8 << 10
 	minOperatorRate      = 256 << 10
+	// smallWriteTimeout limits the time to read an answer of readiness or metrics.
+	smallWriteTimeout = 10 * time.Second
 )
 
 // linkBudget returns the memory for frames of token links that are being received. Entries send short
@@ -66,7 +68,7 @@
 
 // newSmallServer returns a server for requests without bodies.
 func (d *platformDaemon) newSmallServer(listener string, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, WriteTimeout: smallWriteTimeout}
 	netlimit.Protect(server, netlimit.SmallRequests(), newReporter(listener, d.logger, d.metrics))
 	return server
 }
--- a/netlimit/http.go
+++ b/netlimit/http.go
@@ -1,6 +1,7 @@
 package netlimit
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -23,6 +24,9 @@
 	// second.
 	BodyTimeout time.Duration
 	MinBodyRate int64
+	// AnswerTimeout limits the time to send what is left of an answer when its handler has
+	// returned, DefaultAnswerTimeout if it is 0. Handlers limit their own writes.
+	AnswerTimeout time.Duration
 	// Budget is the memory of bodies.
 	Budget *Budget
 }
@@ -34,6 +38,7 @@
 	DefaultIdleTimeout    = time.Minute
 	DefaultBodyTimeout    = 10 * time.Second
 	DefaultMinBodyRate    = 32 << 10
+	DefaultAnswerTimeout  = 30 * time.Second
 )
 
 // SmallRequests are the limits of a listener whose requests have no bodies, such as metrics.
@@ -49,6 +54,8 @@
 	limits   Limits
 	conns    *Conns
 	reporter *Reporter
+	// keepsDeadline is set if net/http sets the write deadline of each request.
+	keepsDeadline bool
 }
 
 // httpConn is a connection of an HTTP server.
@@ -77,7 +84,8 @@
 // Protect makes a server enforce limits. It must be called before the server serves, and after its
 // Handler, ConnContext and ConnState are set.
 func Protect(server *http.Server, limits Limits, reporter *Reporter) *Guard {
-	g := &Guard{limits: limits, conns: NewConns(limits.MaxConns), reporter: reporter}
+	limits.AnswerTimeout = cmp.Or(limits.AnswerTimeout, DefaultAnswerTimeout)
+	g := &Guard{limits: limits, conns: NewConns(limits.MaxConns), reporter: reporter, keepsDeadline: server.WriteTimeout > 0}
 	server.ReadHeaderTimeout, server.IdleTimeout = limits.HeaderTimeout, limits.IdleTimeout
 	server.MaxHeaderBytes = limits.MaxHeaderBytes
 	server.Handler = g.handler(server.Handler)
@@ -163,7 +171,15 @@
 			_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
 			r.Body = &timedBody{ReadCloser: original, request: state, began: time.Now()}
 		}
+		if !g.keepsDeadline {
+			// That of the answer before has remained.
+			_ = control.SetWriteDeadline(time.Time{})
+		}
 		next.ServeHTTP(w, r)
+		if !state.failed.Load() {
+			// Without a deadline, clients that read no answers would keep their connections busy.
+			_ = control.SetWriteDeadline(time.Now().Add(g.limits.AnswerTimeout))
+		}
 	})
 }
 
--- a/netlimit/http_test.go
+++ b/netlimit/http_test.go
@@ -300,3 +300,20 @@
 	_ = answer.Complete()
 	_, _ = answer.tryGrow(budget.Limit() - 1)
 }
+
+// Guards against clients that read no answers and keep all connections of a listener for good.
+func TestUnreadAnswersEnd(t *testing.T) {
+	limits := testLimits()
+	limits.MaxConns, limits.AnswerTimeout = 1, 200*time.Millisecond
+	address, guard := serveTest(t, limits, nil)
+	conn := dialTest(t, address)
+	text := strings.Repeat("x", 1<<10)
+	// The client sends requests until the server no longer reads, and reads nothing.
+	_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+	for {
+		if _, err := io.WriteString(conn, head(len(text))+text); err != nil {
+			break
+		}
+	}
+	awaitTest(t, "the connection was closed", func() bool { return guard.Conns() == 0 })
+}
