Stop reading a token link while replies wait to be sent

A client of a token link that subscribed to streams that the agent does not hold and read nothing made the agent queue up to 16,384 replies, several MB for each connection, beside the budget. An entry that had more such streams lost its link. No frames are read now while 256 replies wait.

--- a/agent/link.go
+++ b/agent/link.go
@@ -21,6 +21,9 @@
 	// maxLinkStreams limits the streams of one link. Each is at most once in the
 	// writer's queue.
 	maxLinkStreams = 16384
+	// maxUnsentReplies is the number of replies beyond which no more frames are read until some are
+	// sent. Entries that come back to a restarted agent get one for each stream.
+	maxUnsentReplies = 256
 	// maxTokensPerFrame limits the tokens in one frame, so that one stream does not
 	// delay the others on the link.
 	maxTokensPerFrame = 256
@@ -60,7 +63,9 @@
 	// ready holds the subscriptions that have something to send.
 	ready *ring.Queue[*subscription]
 	// replies holds frames that do not belong to a subscription.
-	replies   *ring.Queue[*message.Frame]
+	replies *ring.Queue[*message.Frame]
+	// replySent gets a value when a reply was taken from the queue.
+	replySent chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
 	// closeWhenSent makes the writer close the write side of the connection once
@@ -88,7 +93,7 @@
 			continue
 		}
 		c := &linkConn{
-			agent: a, conn: conn, counted: counted, limits: &limits, done: make(chan struct{}),
+			agent: a, conn: conn, counted: counted, limits: &limits, replySent: make(chan struct{}, 1), done: make(chan struct{}),
 			subscriptions: map[message.ExecutionID]*subscription{},
 		}
 		a.mu.Lock()
@@ -112,7 +117,9 @@
 
 // begin starts to send streams after the first frame of the entry. Clients that send none get no queues.
 func (c *linkConn) begin() {
-	c.ready, c.replies = ring.New[*subscription](maxLinkStreams), ring.New[*message.Frame](maxLinkStreams)
+	c.mu.Lock()
+	c.ready, c.replies = ring.New[*subscription](maxLinkStreams), ring.New[*message.Frame](maxUnsentReplies)
+	c.mu.Unlock()
 	c.counted.Set(netlimit.Busy)
 	c.agent.spawn(c.writeLoop)
 }
@@ -124,6 +131,17 @@
 	}
 }
 
+// awaitReplies waits while the queue of replies is full.
+func (c *linkConn) awaitReplies() {
+	for c.replies.Len() >= maxUnsentReplies {
+		select {
+		case <-c.replySent:
+		case <-c.done:
+			return
+		}
+	}
+}
+
 // abort closes the connection, so that the entry resumes its streams on another one. It is
 // used when a frame can not be queued, for which the entry would wait. The caller may hold
 // any lock: readLoop ends the subscriptions.
@@ -177,6 +195,7 @@
 		case frame.Unsubscribe != nil:
 			c.unsubscribe(frame.Unsubscribe)
 		}
+		c.awaitReplies()
 	}
 }
 
@@ -287,6 +306,10 @@
 			err = c.sendTokens(writer, s)
 			live.Sent(time.Now())
 		case frame := <-c.replies.Items():
+			select {
+			case c.replySent <- struct{}{}:
+			default:
+			}
 			err = writer.Write(frame)
 		}
 		if err == nil && c.ready.Len() == 0 && c.replies.Len() == 0 {
