Allocate the queue of streams of a token link with the first one

A client that sent one frame to a token link made the agent allocate two queues for 16,384 entries: 298,533 bytes for each link, measured with the client's side in the same process, while the bound of connections takes 32 KiB for one. With the 3,000 connections that a memory of 94 MiB allows these were 890 MB. Now a link without streams takes 39,051 bytes. TestLinkWithoutStreamsIsSmall failed before.

--- a/agent/link.go
+++ b/agent/link.go
@@ -60,8 +60,10 @@
 	conn    net.Conn
 	counted *netlimit.Conn
 	limits  *wire.Limits
-	// ready holds the subscriptions that have something to send.
-	ready *ring.Queue[*subscription]
+	// ready holds the subscriptions that have something to send. It is nil before the first one, when
+	// hasStreams is closed.
+	ready      *ring.Queue[*subscription]
+	hasStreams chan struct{}
 	// replies holds frames that do not belong to a subscription.
 	replies *ring.Queue[*message.Frame]
 	// replySent gets a value when a reply was taken from the queue.
@@ -93,7 +95,8 @@
 			continue
 		}
 		c := &linkConn{
-			agent: a, conn: conn, counted: counted, limits: &limits, replySent: make(chan struct{}, 1), done: make(chan struct{}),
+			agent: a, conn: conn, counted: counted, limits: &limits, replySent: make(chan struct{}, 1),
+			hasStreams: make(chan struct{}), done: make(chan struct{}),
 			subscriptions: map[message.ExecutionID]*subscription{},
 		}
 		a.mu.Lock()
@@ -115,10 +118,11 @@
 	return writer.Flush()
 }
 
-// begin starts to send streams after the first frame of the entry. Clients that send none get no queues.
+// begin starts to send after the first frame of the entry. Clients that send none get no queues, and
+// those without streams not the long one for these.
 func (c *linkConn) begin() {
 	c.mu.Lock()
-	c.ready, c.replies = ring.New[*subscription](maxLinkStreams), ring.New[*message.Frame](maxUnsentReplies)
+	c.replies = ring.New[*message.Frame](maxUnsentReplies)
 	c.mu.Unlock()
 	c.counted.Set(netlimit.Busy)
 	c.agent.spawn(c.writeLoop)
@@ -239,6 +243,10 @@
 			Refusal: message.Refusal{Reason: verdict.ReasonOverloaded, Message: "the link has too many streams"}})
 		return
 	}
+	if c.ready == nil {
+		c.ready = ring.New[*subscription](maxLinkStreams)
+		close(c.hasStreams)
+	}
 	if previous, exists := c.subscriptions[request.Execution]; exists {
 		previous.closed.Store(true)
 		previous.run.unsubscribe(previous)
@@ -285,13 +293,15 @@
 	live := link.NewLiveness(time.Now())
 	ticker := time.NewTicker(link.HeartbeatInterval / 4)
 	defer ticker.Stop()
+	var ready <-chan *subscription
+	hasStreams := c.hasStreams
 	for {
 		var err error
 		select {
 		case <-c.done:
 			return
 		case now := <-ticker.C:
-			if c.closeWhenSent.Load() && c.ready.Len() == 0 && c.replies.Len() == 0 {
+			if c.closeWhenSent.Load() && c.isSent() {
 				wire.CloseWrite(c.conn)
 				<-c.done
 				return
@@ -302,7 +312,12 @@
 				})
 				live.Sent(now)
 			}
-		case s := <-c.ready.Items():
+		case <-hasStreams:
+			c.mu.Lock()
+			ready, hasStreams = c.ready.Items(), nil
+			c.mu.Unlock()
+			continue
+		case s := <-ready:
 			err = c.sendTokens(writer, s)
 			live.Sent(time.Now())
 		case frame := <-c.replies.Items():
@@ -312,7 +327,7 @@
 			}
 			err = writer.Write(frame)
 		}
-		if err == nil && c.ready.Len() == 0 && c.replies.Len() == 0 {
+		if err == nil && c.isSent() {
 			err = writer.Flush()
 		}
 		if err != nil {
@@ -321,6 +336,13 @@
 	}
 }
 
+// isSent reports whether nothing waits to be sent.
+func (c *linkConn) isSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replies.Len() == 0 && (c.ready == nil || c.ready.Len() == 0)
+}
+
 // sendTokens writes the next tokens of one stream, and its end after the last token.
 func (c *linkConn) sendTokens(writer *wire.FrameWriter, s *subscription) error {
 	s.queued.Store(false)
--- a/agent/linkmemory_test.go
+++ b/agent/linkmemory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -88,3 +89,48 @@
 		t.Error(err)
 	}
 }
+
+// Guards against clients without streams that take more memory than the bound of connections assumes
+// for them, because the queues of a link are as long as the largest number of streams.
+func TestLinkWithoutStreamsIsSmall(t *testing.T) {
+	const links, bound = 100, 96 << 10
+	a, address := startLinks(t)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range links {
+		conn := dialLink(t, address)
+		writer := wire.NewFrameWriter(conn, time.Minute)
+		if err := writer.Write(&message.Frame{Hello: &message.Hello{}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := writer.Flush(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	begun := func() (n int) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, c := range a.links {
+			c.mu.Lock()
+			if c.replies != nil {
+				n++
+			}
+			c.mu.Unlock()
+		}
+		return n
+	}
+	for end := time.Now().Add(5 * time.Second); begun() < links; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d links began", begun(), links)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	// The client's sides are counted too.
+	perLink := (int64(after.HeapAlloc) - int64(before.HeapAlloc)) / links
+	t.Logf("%d bytes for each link", perLink)
+	if perLink > bound {
+		t.Errorf("a link without streams takes %d bytes, want at most %d", perLink, bound)
+	}
+}
