--- a/e2e/hostileclients/http_test.go
+++ b/e2e/hostileclients/http_test.go
@@ -85,8 +85,13 @@
 
 func entryCallers(t *testing.T, l limits) (*process, crowd.Target, func() error) {
 	c := startINI(t, limits{runtimeMB, l.descriptors}, "")
-	return c.entry, crowd.Target{Address: c.callers, Path: "/services/book-desk/swaps", MaxBodyBytes: 4 << 20,
-		MaxHeaderBytes: maxHeaderBytes, Header: http.Header{"Authorization": {"Bearer demo-key"}}}, c.call
+	return c.entry, c.callersTarget(), c.call
+}
+
+// callersTarget returns the target of clients that know the key of a caller.
+func (c *iniCluster) callersTarget() crowd.Target {
+	return crowd.Target{Address: c.callers, Path: "/services/book-desk/swaps", MaxBodyBytes: 4 << 20,
+		MaxHeaderBytes: maxHeaderBytes, Header: http.Header{"Authorization": {"Bearer demo-key"}}}
 }
 
 // unknownCallers have no key, so that their bodies are not read by the handler.
--- a/e2e/hostileclients/raw_test.go
+++ b/e2e/hostileclients/raw_test.go
@@ -24,6 +24,10 @@
 	err    error
 }
 
+func dialRaw(address string) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, rawConnectTimeout)
+}
+
 func (c *rawClient) write(p []byte) {
 	if c.err != nil {
 		return
@@ -65,7 +69,7 @@
 	var scripts sync.WaitGroup
 	for i := range count {
 		scripts.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, rawConnectTimeout)
+			conn, err := dialRaw(address)
 			if err != nil {
 				return
 			}
