Interrupt a request that is refused as it begins

A request could be chosen to be refused between its entry into the list of unfinished requests and the moment from which its read can be interrupted. It was read until its timeout then, although its place or memory counted as about to be released, and since the youngest request gives way first it was the likely one under pressure. TestRequestIsRefusedAsItBegins failed before within 2.1 s.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -263,11 +263,12 @@
 	arrived := time.Now()
 	w := &responseWriter{conn: c.conn, out: c.out, stopping: c.closesForStop}
 	defer func() { c.closeAnnounced = w.closeAnnounced }()
+	// It may be interrupted as soon as it has begun.
+	c.setReading(true)
 	memory := c.gateway.memory.begin(c.address, c.interrupt)
 	defer memory.release()
 	c.memory.Store(memory)
 	defer c.memory.Store(nil)
-	c.setReading(true)
 	r, err := c.readRequest(w, limits, memory)
 	if err == nil {
 		err = memory.commit()
