Bound the memory of responses that wait for requests to give way

The bound of all responses beyond 64 KB was checked before the wait for memory and not after it, so that several responses that waited at the same time exceeded it together. TestResponsesThatWaitAreBounded found 80 bytes of 40 granted before.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -257,10 +257,15 @@
 func (b *memoryBudget) takeResponse(n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.responses+n > b.responseLimit || b.acquire(nil, n, b.limit) != nil {
+	if b.responses+n > b.responseLimit {
 		return false
 	}
+	// Others may ask while this one waits.
 	b.responses += n
+	if b.acquire(nil, n, b.limit) != nil {
+		b.responses -= n
+		return false
+	}
 	return true
 }
 
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -35,3 +35,24 @@
 		_ = conn.Close()
 	}
 }
+
+// Guards against responses that together exceed their memory, because several wait for requests to
+// give way at the same time.
+func TestResponsesThatWaitAreBounded(t *testing.T) {
+	const limit, each = 100, 40
+	b := newMemoryBudget(limit, func() time.Duration { return 0 })
+	b.intakeLimit, b.responseLimit = limit, each
+	unfinished := b.begin("a", func() {})
+	if err := unfinished.take(limit); err != nil {
+		t.Fatal(err)
+	}
+	granted := make(chan bool, 2)
+	for range cap(granted) {
+		go func() { granted <- b.takeResponse(each) }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	unfinished.release()
+	if first, second := <-granted, <-granted; first == second || b.responses != each || b.inUse() != each {
+		t.Errorf("granted %v and %v, %d bytes of %d", first, second, b.responses, each)
+	}
+}
