Let the leader mark servers as cold that agents report

A server that becomes cold without a restart was known only when the list showed it. The leader now marks it from the report of the agent on its host, at once, and an older list does not clear the mark. The runs that were new in the second before count like permits, because they reached the server before the bound was known. The fields are not handed out with the loads.

go test -race ./fleet -run 'Cold|Report' and ./serverlimit ./backend in core pass.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -46,6 +46,11 @@
 	Address string
 	Leaving bool
 	Load    Load
+	// ColdFor is the remaining time during which the server says that it is cold, 0 if that is not
+	// known, and NewRuns the number of runs that began in the last second. NewRuns is set only
+	// together with ColdFor.
+	ColdFor time.Duration
+	NewRuns int
 }
 
 // List holds the servers of one read of the platform's list.
--- a/core/backend/cold.go
+++ b/core/backend/cold.go
@@ -33,3 +33,18 @@
 	}
 	return marked
 }
+
+// MarkReported returns the servers of a list that counts as read at now, with ColdUntil not before
+// the ends that processes on the servers' hosts reported, by address. The list may be older than a report.
+func MarkReported(now time.Duration, listed []Server, reported map[string]time.Duration, coldStart ColdStart) []Server {
+	marked := make([]Server, len(listed))
+	for i, s := range listed {
+		if until := reported[s.Address]; until > now && until > s.ColdUntil {
+			if _, bounded := coldStart(s.Service); bounded {
+				s.ColdUntil = until
+			}
+		}
+		marked[i] = s
+	}
+	return marked
+}
--- a/core/backend/cold_test.go
+++ b/core/backend/cold_test.go
@@ -46,3 +46,33 @@
 		}
 	}
 }
+
+// Guards against an engine that became cold again and counts as warm because an older list says so, against a
+// report that makes a server of a service without a bound cold, and against an end that moves to
+// another server.
+func TestMarkReported(t *testing.T) {
+	const now, s = time.Hour, time.Second
+	coldStart := func(service string) (time.Duration, bool) { return s, service == "bounded" }
+	reported := map[string]time.Duration{"x": now + s, "over": now}
+	for _, c := range []struct {
+		name   string
+		server Server
+		want   time.Duration
+	}{
+		{"warm in the list", Server{Service: "bounded", Address: "x"}, now + s},
+		{"an earlier end in the list", Server{Service: "bounded", Address: "x", ColdUntil: now + 300}, now + s},
+		{"a later end in the list", Server{Service: "bounded", Address: "x", ColdUntil: now + 2*s}, now + 2*s},
+		{"reported time over", Server{Service: "bounded", Address: "over"}, 0},
+		{"not reported", Server{Service: "bounded", Address: "y"}, 0},
+		{"no bound", Server{Service: "other", Address: "x"}, 0},
+	} {
+		servers := []Server{c.server}
+		got := MarkReported(now, servers, reported, coldStart)
+		if got[0].ColdUntil != c.want {
+			t.Errorf("%s: cold until %v, want %v", c.name, got[0].ColdUntil, c.want)
+		}
+		if servers[0] != c.server {
+			t.Errorf("%s: the list was changed in place", c.name)
+		}
+	}
+}
--- a/core/serverlimit/bound.go
+++ b/core/serverlimit/bound.go
@@ -72,6 +72,15 @@
 	n  int
 }
 
+// CountArrived counts requests that arrived at a server without permits like permits granted now, if
+// the server's permits are counted.
+func (a *Allocator) CountArrived(now time.Duration, server string, n int) {
+	if s := a.servers[server]; s != nil && s.terms.counted && n > 0 {
+		s.askedAt = now
+		s.grants = append(s.grants, grant{now, min(n, s.terms.most)})
+	}
+}
+
 // free returns how many permits the count of the last span leaves, and when it leaves one more
 // if there is none. previousUntil is when the previous allocator may have granted its last
 // permit: what it granted at most counts as well.
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -32,6 +32,53 @@
 	return server
 }
 
+// maxReportedCold bounds the cold time that a report may name.
+const maxReportedCold = time.Hour
+
+// recordColdLocked marks the server of a report as cold, and returns its id if it was not known to
+// be. The caller holds l.mu and publishes the servers.
+func (l *serverList) recordColdLocked(r backend.Report, now time.Duration) (becameCold []string) {
+	l.reportedCold[r.Address] = now + min(r.ColdFor, maxReportedCold)
+	marked := backend.MarkReported(now, l.listed, l.reportedCold, l.coldStart)
+	for i, server := range marked {
+		if l.listed[i].ColdUntil <= now && server.ColdUntil > now {
+			becameCold = append(becameCold, server.ID)
+		}
+	}
+	l.listed = marked
+	return becameCold
+}
+
+// recordReport records a report of an agent on the leader.
+func (c *Control) recordReport(r backend.Report) {
+	now := SinceBoot()
+	if r.ColdFor > 0 && c.servers.coldStart != nil {
+		// A new desired state is decoded here and not while the list is locked.
+		c.declaredService("")
+	}
+	for _, id := range c.servers.recordReport(r, now) {
+		rate := 0.0
+		if s := c.declaredService(c.servers.serviceOf(id)); s != nil {
+			rate = s.ColdPerSecond
+		}
+		c.limits.countArrived(now, id, rate, r.NewRuns)
+		c.metrics.coldReports.Add(1)
+		c.options.Logger.Info("backend server reported that it is cold", zap.String("backend_server", id),
+			zap.Duration("cold_seconds", r.ColdFor), zap.Int("new_runs", r.NewRuns), zap.Float64("limit_per_second", rate))
+	}
+}
+
+// countArrived counts requests that arrived without permits at a server before it was known to be cold.
+func (l *limitTable) countArrived(now time.Duration, server string, perSecond float64, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cold == nil || perSecond <= 0 {
+		return
+	}
+	l.cold.Observe(now, server, serverlimit.Observation{Limited: true, PerSecond: perSecond, SentAt: now, ReceivedAt: now})
+	l.cold.CountArrived(now, server, n)
+}
+
 // coldStart implements backend.ColdStart.
 func (v *View) coldStart(service string) (time.Duration, bool) {
 	if v.Table == nil || v.Table.Service(service) == nil {
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -115,6 +115,7 @@
 // controlMetrics holds the counters of a member.
 type controlMetrics struct {
 	acknowledged, refused, unanswered, watches, listReads, listFailures, permitRequests, permits *expvar.Int
+	coldReports                                                                                  *expvar.Int
 	evacuationsAcknowledged, evacuationsRefused, evacuationsUnanswered                           *expvar.Int
 }
 
@@ -138,6 +139,7 @@
 		unanswered: m.Counter("control_states_unanswered_total"), watches: m.Counter("control_watches_total"),
 		listReads: m.Counter("control_list_reads_total"), listFailures: m.Counter("control_list_failures_total"),
 		permitRequests: m.Counter("control_permit_requests_total"), permits: m.Counter("control_permits_total"),
+		coldReports: m.Counter("control_cold_reports_total"),
 	}
 }
 
--- a/fleet/serverlist.go
+++ b/fleet/serverlist.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	quarantinedAt time.Duration
 	// coldStart is nil if the deployment has no bound for cold servers.
 	coldStart backend.ColdStart
+	// reportedCold holds the ends of the cold times that agents reported to the leader, by address.
+	reportedCold map[string]time.Duration
 	// evacuations returns the evacuated failure domains and the revision of their set. It may be nil.
 	evacuations func() (domains map[string]bool, revision uint64)
 	// loadsChanged is set if loads changed after the last publication.
@@ -57,7 +60,7 @@
 
 func newServerList(source string) *serverList {
 	return &serverList{source: source, reports: map[string]timedReport{}, change: make(chan struct{}),
-		servers: newChangeLog(sameServer), loads: newChangeLog(SameLoad)}
+		reportedCold: map[string]time.Duration{}, servers: newChangeLog(sameServer), loads: newChangeLog(SameLoad)}
 }
 
 // sameServer reports whether the difference of two states of a server does not matter. The list
@@ -188,25 +191,36 @@
 	}
 	first := !l.loaded
 	if l.coldStart != nil {
-		servers = backend.MarkCold(SinceBoot(), servers, l.listed, first, l.coldStart)
+		now := SinceBoot()
+		maps.DeleteFunc(l.reportedCold, func(_ string, until time.Duration) bool { return until <= now })
+		servers = backend.MarkCold(now, servers, l.listed, first, l.coldStart)
+		servers = backend.MarkReported(now, servers, l.reportedCold, l.coldStart)
 	}
 	l.loaded, l.readAt, l.listed = true, readAt, servers
 	l.publishServersLocked(first)
 }
 
-// recordReport stores a report. A changed leaving mark is published at once, a
-// changed load by the next call of publishLoads.
-func (l *serverList) recordReport(r backend.Report, now time.Duration) {
+// recordReport stores a report. A changed leaving mark and a cold server are published at once, a
+// changed load by the next call of publishLoads. It returns the ids of the servers that were not known
+// to be cold.
+func (l *serverList) recordReport(r backend.Report, now time.Duration) (becameCold []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if r.ColdFor > 0 && l.coldStart != nil {
+		becameCold = l.recordColdLocked(r, now)
+	}
+	// The remaining time would be handed out with the load, which may be old.
+	isCold := r.ColdFor > 0
+	r.ColdFor, r.NewRuns = 0, 0
 	old, known := l.reports[r.Address]
 	l.reports[r.Address] = timedReport{r, now}
-	if r.Leaving != (known && old.Leaving) && l.loaded {
+	if (isCold || r.Leaving != (known && old.Leaving)) && l.loaded {
 		l.publishServersLocked(false)
 	}
 	if published, known := l.loads.values[r.Address]; !known || !SameLoad(published.value, r) {
 		l.loadsChanged = true
 	}
+	return becameCold
 }
 
 // publishLoads publishes the loads that changed after the last publication.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -275,7 +275,7 @@
 		}
 		return nil
 	}
-	c.servers.recordReport(request.Report, SinceBoot())
+	c.recordReport(request.Report)
 	return nil
 }
 
