Ask the engine on the host of an agent whether it is cold

The agent counts the new runs in the status, asks the health path in the background when core/coldwatch says so, and sends the remaining time with its reports: at once when it learned it, and with each report while the engine is cold. Without [cold_servers], cold-per-s or health-path it asks nothing. A failed call is logged once a minute at most.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -350,7 +350,7 @@
 	agent, err := evacuate.New(evacuate.Options{
 		Address: s.ServerAddress, Service: s.Service, FailureDomain: s.FailureDomain,
 		Engine: platform.NewReplicaClient(s.ServerAddress), Fleet: watcher, Pool: d.pool,
-		Logger: d.logger, Metrics: d.metrics,
+		Logger: d.logger, Metrics: d.metrics, BoundsColdServers: s.ColdBound().Window > 0,
 	}, server)
 	if err != nil {
 		return err
--- a/evacuate/engine.go
+++ b/evacuate/engine.go
@@ -32,6 +32,8 @@
 // Engine controls the backend server on this host.
 type Engine interface {
 	Status(ctx context.Context) (Status, error)
+	// ColdFor asks the health path of the server how much longer it is cold.
+	ColdFor(ctx context.Context, healthPath string) (time.Duration, error)
 	// Move copies the memory of a generation to the server at target. If stop is
 	// set, it stops the generation first.
 	Move(ctx context.Context, generationID, target string, stop bool) (Copy, error)
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -81,6 +81,8 @@
 	Pool                            *wire.Pool
 	Logger                          *zap.Logger
 	Metrics                         *observe.Metrics
+	// BoundsColdServers is set if cold servers have a bound in this deployment.
+	BoundsColdServers bool
 }
 
 // moveState is the state of a move. When done is closed, address and copy name the
@@ -102,9 +104,12 @@
 	// unplaced are the generations that were logged as having no destination.
 	unplaced map[string]bool
 	// refusedAt is when each destination last refused a copy.
-	refusedAt  map[string]time.Time
-	reported   backend.Report
-	reportedAt time.Time
+	refusedAt map[string]time.Time
+	// reported is the last report, sent at reportedAt, and reportedCold the end of the cold time in it.
+	reported     backend.Report
+	reportedAt   time.Time
+	reportedCold time.Duration
+	cold         coldState
 	// refreshedAt is when the loads of other servers were last refreshed.
 	refreshedAt time.Time
 	moveSlots   chan struct{}
@@ -116,7 +121,7 @@
 func New(options Options, server *wire.Server) (*Agent, error) {
 	a := &Agent{options: options, moves: map[string]*moveState{}, lastSeen: map[string]bool{}, unplaced: map[string]bool{},
 		refusedAt: map[string]time.Time{}, moveSlots: make(chan struct{}, concurrentMoves),
-		evacuations: fleet.NewEvacuationLog(options.Logger)}
+		evacuations: fleet.NewEvacuationLog(options.Logger), cold: newColdState()}
 	a.metrics = newMetrics(options.Metrics)
 	return a, errors.Wrap(server.Register(ServiceName, &service{a}), "register the evacuation service")
 }
@@ -136,6 +141,7 @@
 			a.options.Logger.Info("backend server reachability changed", zap.Bool("answers", !down), zap.Error(err))
 		}
 		if err == nil {
+			a.watchCold(ctx, status)
 			a.report(ctx, status)
 			a.refreshLoads(ctx, status)
 			a.planMoves(ctx, status)
@@ -143,17 +149,19 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-a.cold.learned:
 		case <-ticker.C:
 		}
 	}
 }
 
 // report sends the load of the server to the control group: after reportInterval if it
-// changed, after maxReportInterval else, and immediately if its notice changed.
+// changed, after maxReportInterval else, and immediately if its notice or the end of its cold time changed.
 func (a *Agent) report(ctx context.Context, s Status) {
 	r := backend.Report{Address: a.options.Address, Leaving: s.Leaving, Load: s.Load}
+	coldUntil := a.addCold(&r)
 	age := time.Since(a.reportedAt)
-	if r.Leaving == a.reported.Leaving && (age < reportInterval || age < maxReportInterval && fleet.SameLoad(r, a.reported)) {
+	if r.Leaving == a.reported.Leaving && coldUntil-a.reportedCold <= coldTolerance && (age < reportInterval || age < maxReportInterval && fleet.SameLoad(r, a.reported)) {
 		return
 	}
 	if r.Leaving != a.reported.Leaving {
@@ -163,7 +171,7 @@
 		a.options.Logger.Info("notice of the backend server changed", zap.Bool("leaving", r.Leaving),
 			zap.Duration("leaves_in_seconds", s.LeavesIn), zap.Int("runs", len(s.Generations)))
 	}
-	a.reported, a.reportedAt = r, time.Now()
+	a.reported, a.reportedAt, a.reportedCold = r, time.Now(), coldUntil
 	leader := a.options.Fleet.View().Leader
 	if leader == "" {
 		return
@@ -294,13 +302,18 @@
 	return list
 }
 
-// declaredEngine returns the declaration of the engines of the service, or nil if
-// there is none.
-func (a *Agent) declaredEngine(v *fleet.View) *desired.Engine {
+// declaredService returns the declaration of the service, or nil if there is none.
+func (a *Agent) declaredService(v *fleet.View) *desired.Service {
 	if v.Table == nil {
 		return nil
 	}
-	if s := v.Table.Service(a.options.Service); s != nil {
+	return v.Table.Service(a.options.Service)
+}
+
+// declaredEngine returns the declaration of the engines of the service, or nil if
+// there is none.
+func (a *Agent) declaredEngine(v *fleet.View) *desired.Engine {
+	if s := a.declaredService(v); s != nil {
 		return s.Engine
 	}
 	return nil
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -61,6 +61,10 @@
 	return Copy{Name: "here/" + generationID, Events: 9}, nil
 }
 
+func (e *testEngine) ColdFor(context.Context, string) (time.Duration, error) {
+	return 0, errors.New("no health path")
+}
+
 type testFleet struct {
 	view fleet.View
 	// evacuated holds the view after the evacuation of failure domains, if set.
