--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -57,11 +57,15 @@
 		c.declaredService("")
 	}
 	for _, id := range c.servers.recordReport(r, now) {
-		rate := 0.0
+		rate, arrived := 0.0, r.NewRuns
 		if s := c.declaredService(c.servers.serviceOf(id)); s != nil {
 			rate = s.ColdPerSecond
+			if s.Engine != nil && s.Engine.CanReserve {
+				// Each run was preceded by a reservation, which is a request too.
+				arrived *= 2
+			}
 		}
-		c.limits.countArrived(now, id, rate, r.NewRuns)
+		c.limits.countArrived(now, id, rate, arrived)
 		c.metrics.coldReports.Add(1)
 		c.options.Logger.Info("backend server reported that it is cold", zap.String("backend_server", id),
 			zap.Duration("cold_seconds", r.ColdFor), zap.Int("new_runs", r.NewRuns), zap.Float64("limit_per_second", rate))
