Grant the memory of services to entries at the control leader

Cause: entries that admit generations each for itself herd to the engines that look free and refuse requests although there is room elsewhere (docs/service-load.md, part D). Change: the leader keeps a serviceroom.Ledger for each service of engines. Without the setting nothing is registered, and no field of a watch is filled.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -198,6 +198,7 @@
 	watcher := fleet.NewWatcher(fleet.WatcherOptions{
 		Seeds: d.seeds, Codec: platform.Codec{}, Directory: listClient(s, fallbackListShare, true, d.logger), Pool: d.pool,
 		Logger: d.logger, FailureDomain: s.FailureDomain, Entry: s.Host,
+		WantsTight: s.ServiceWideAdmission,
 	})
 	g := gateway.New(gateway.Options{
 		Fleet: watcher, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
@@ -277,7 +278,8 @@
 		Bootstrap: s.FirstStart, MinVoters: roster.MinVoters(s.ToleratedLosses, s.ToleratedDomains),
 		RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, ColdBound: s.ColdBound(),
 		ServesEvacuations: s.EvacuationBound > 0, FailureDomains: d.failureDomains,
-		Codec: platform.Codec{}, Directory: listClient(s, leaderListShare, false, d.logger), Pool: d.pool, Dial: d.dial,
+		AdmitsServiceWide: s.ServiceWideAdmission,
+		Codec:             platform.Codec{}, Directory: listClient(s, leaderListShare, false, d.logger), Pool: d.pool, Dial: d.dial,
 		Server: server, Logger: d.logger, Metrics: d.metrics,
 	})
 	if err != nil {
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -58,6 +58,14 @@
 
 // declaredService returns a service of the desired state in force, nil if it has none.
 func (c *Control) declaredService(name string) *desired.Service {
+	if table := c.declaredTable(); table != nil {
+		return table.Service(name)
+	}
+	return nil
+}
+
+// declaredTable returns the desired state in force, nil if there is none.
+func (c *Control) declaredTable() *desired.Table {
 	version, document := c.stateMachine.current()
 	if document == nil {
 		return nil
@@ -73,7 +81,7 @@
 		table = decoded
 		c.table.Store(table)
 	}
-	return table.Service(name)
+	return table
 }
 
 // coldRate returns the rate of requests that a cold server bears, 0 for no bound. An entry may
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -74,6 +74,8 @@
 	// ServesEvacuations is set where operators may evacuate failure domains, and FailureDomains
 	// returns those that they may name. If there are none, they may name any.
 	ServesEvacuations bool
+	// AdmitsServiceWide is set if the memory of services is granted for all entries together.
+	AdmitsServiceWide bool
 	FailureDomains    func() []string
 	Codec             Codec
 	Directory         Directory
@@ -94,7 +96,9 @@
 	parts        *partTable
 	standings    *standingTable
 	retries      *retryGrants
-	watcher      *Watcher
+	// rooms is nil if the deployment has no service-wide admission.
+	rooms   *roomTable
+	watcher *Watcher
 	// table is the desired state that was last decoded for cold servers.
 	table atomic.Pointer[desired.Table]
 	node  atomic.Pointer[control.Node]
@@ -168,6 +172,10 @@
 	c.parts = &partTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.standings = &standingTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger}
 	c.retries = &retryGrants{slack: options.RetrySlack, window: options.RetryWindow}
+	if options.AdmitsServiceWide {
+		c.rooms = &roomTable{source: c.servers.source, notify: c.servers.notify, logger: options.Logger,
+			metrics: newRoomMetrics(options.Metrics)}
+	}
 	c.metrics = newControlMetrics(options.Metrics, c)
 	c.stateMachine = &stateMachine{onChange: c.servers.notify, logger: options.Logger}
 	c.servers.evacuations = c.evacuatedDomains
@@ -176,7 +184,8 @@
 		member = ""
 	}
 	c.watcher = NewWatcher(WatcherOptions{Seeds: options.Seeds, Codec: options.Codec, Pool: options.Pool,
-		Logger: options.Logger, FailureDomain: options.FailureDomain, MemberAddress: member, LeaderOnly: member == ""})
+		Logger: options.Logger, FailureDomain: options.FailureDomain, MemberAddress: member, LeaderOnly: member == "",
+		WantsTight: options.AdmitsServiceWide})
 	c.watcher.OnChange(func(*View) { c.copyLeaderList() })
 	return c, errors.Wrap(options.Server.Register(ServiceName, &service{c}), "register the fleet service")
 }
@@ -296,6 +305,9 @@
 	c.limits.copyFrom(c.watcher.View())
 	c.parts.copyFrom(c.watcher.View())
 	c.standings.copyFrom(c.watcher.View())
+	if c.rooms != nil {
+		c.rooms.copyFrom(c.watcher.View())
+	}
 }
 
 // runLeaderPoll sets the leader that the watcher watches. It also copies the read time
@@ -312,16 +324,21 @@
 			c.retries.lead(SinceBoot(), status.Term)
 			c.parts.lead(SinceBoot())
 			c.standings.lead(SinceBoot())
+			if c.rooms != nil {
+				c.rooms.lead(SinceBoot(), status.Term)
+			}
 		}
 	})
 }
 
-// runLoadPublish publishes changed loads and servers that fail while this member leads.
+// runLoadPublish publishes changed loads, servers that fail and services that are tight while this
+// member leads.
 func (c *Control) runLoadPublish(ctx context.Context) {
 	every(ctx, loadPublishInterval, func() {
 		if c.leads() {
 			c.servers.publishLoads()
 			c.standings.publish(SinceBoot())
+			c.updateRooms(SinceBoot())
 		}
 	})
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -54,6 +54,9 @@
 	// backend servers that fail.
 	WantsStandings bool
 	Standings      Stamp
+	// WantsTight is set by daemons that know Tight, the stamp of the services that are tight.
+	WantsTight bool
+	Tight      Stamp
 }
 
 // WatchReply holds the newer data. Ages are as of the time at which the reply was made,
@@ -98,6 +101,11 @@
 	HasStandings   bool
 	StandingsStamp Stamp
 	Standings      []ServiceStandings
+	// Tight are the services whose memory is nearly used up. They are set together with HasTight
+	// if TightStamp differs from that of the request.
+	HasTight   bool
+	TightStamp Stamp
+	Tight      []string
 	// Evacuations are the failure domains that orders named, with the revision of the set. They are
 	// set together with HasEvacuations if the revision is above that of the request.
 	HasEvacuations     bool
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -243,7 +243,8 @@
 	}
 	return !request.Lazy && (request.WantsLimits && c.limits.hasNewer(request.Limits) ||
 		request.WantsParts && c.parts.hasNewer(request.Parts) ||
-		request.WantsStandings && c.standings.hasNewer(request.Standings))
+		request.WantsStandings && c.standings.hasNewer(request.Standings) ||
+		request.WantsTight && c.rooms != nil && c.rooms.hasNewer(request.Tight))
 }
 
 // fillReply sets the data that the sender of a watch does not know.
@@ -263,6 +264,9 @@
 	if request.WantsStandings {
 		c.standings.fillReply(request.Standings, reply)
 	}
+	if request.WantsTight && c.rooms != nil {
+		c.rooms.fillReply(request.Tight, reply)
+	}
 }
 
 // Report records a report from a backend server's host. Other members than the leader
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -37,6 +37,9 @@
 	// Standings are the backend servers that are not sound, by the outcomes that all entries
 	// saw.
 	Standings Standings
+	// Tight are the services whose memory is nearly used up, as of TightStamp.
+	Tight      map[string]bool
+	TightStamp Stamp
 	// Evacuations are the evacuated failure domains, with the time since boot at which this
 	// daemon learned of each evacuation.
 	Evacuations map[string]time.Duration
@@ -129,3 +132,11 @@
 	}
 	v.Reports = loads
 }
+
+// applyTight replaces the services that are tight by those in a reply.
+func (v *View) applyTight(reply *WatchReply) {
+	v.Tight, v.TightStamp = make(map[string]bool, len(reply.Tight)), reply.TightStamp
+	for _, service := range reply.Tight {
+		v.Tight[service] = true
+	}
+}
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -61,6 +61,8 @@
 	// MemberAddress is the peer address of the control member that this watcher
 	// serves, empty on other daemons. A control member watches only the leader.
 	MemberAddress string
+	// WantsTight is set on daemons that need to know which services are tight.
+	WantsTight bool
 }
 
 // Watcher keeps a daemon's copy of the desired state and the server list up to date.
@@ -225,7 +227,7 @@
 		LeaderOnly: w.options.LeaderOnly, WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision,
 		AcceptsUnconfirmed: SinceBoot()-w.startedAt > unconfirmedHold,
 		WantsLimits:        true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
-		WantsStandings: true, Standings: v.standingsStamp}
+		WantsStandings: true, Standings: v.standingsStamp, WantsTight: w.options.WantsTight, Tight: v.TightStamp}
 	if v.Table == nil {
 		request.Version = 0
 	}
@@ -263,7 +265,8 @@
 	if err := w.options.Pool.Call(ctx, v.Leader, ServiceName+".Watch",
 		&WatchRequest{Version: v.Version, List: v.listStamp, Entry: w.options.Entry,
 			WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision, WantsLimits: true, Limits: v.limitsStamp,
-			WantsParts: w.wantsParts(), Parts: v.partsStamp, WantsStandings: true, Standings: v.standingsStamp}, &reply); err != nil {
+			WantsParts: w.wantsParts(), Parts: v.partsStamp, WantsStandings: true, Standings: v.standingsStamp,
+			WantsTight: w.options.WantsTight, Tight: v.TightStamp}, &reply); err != nil {
 		return err
 	}
 	return w.mergeReply(&reply, sent)
@@ -342,6 +345,10 @@
 		}
 		changed = true
 	}
+	if reply.HasTight {
+		next.applyTight(reply)
+		changed = true
+	}
 	if len(reply.Members) > 0 {
 		next.Members = reply.Members
 	}
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -123,6 +123,23 @@
 	c.byLabel[label] += delta
 }
 
+// Set sets the value of a label, for a labeled gauge. It has no effect on a new label beyond the
+// limit.
+func (c *Counters) Set(label string, value int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.byLabel[label]; ok || len(c.byLabel) < c.limit {
+		c.byLabel[label] = value
+	}
+}
+
+// Remove removes a label.
+func (c *Counters) Remove(label string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.byLabel, label)
+}
+
 // String implements expvar.Var.
 func (c *Counters) String() string {
 	c.mu.Lock()
