Let long generations wait for room at the entry

Cause: an entry that places a generation only learns from the engines, one after the other, that none has memory, and a full service keeps no room for what has to move (docs/service-load.md, part D). Change: before a generation is placed for the first time, its need is counted in the account of its service (serviceroom.Account). While the service is tight, a long one waits for the leader's decision, within its route's objective, and is refused with the decided Retry-After if there is no room. Short ones are only counted. Leases are renewed in the background while the service is tight. The need ends with the request. The wait counts neither for the time in which reservations are tried nor for the pace of the route. Without Options.Rooms nothing is registered or counted. Measured: go test -race ./gateway ./core/dispatch passes.

--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -74,6 +74,8 @@
 	// expectedQuantile is the quantile of observed paces with which the expected time of a
 	// generation is computed.
 	expectedQuantile = 0.9
+	// usualQuantile is the quantile with which the usual time of a generation is computed.
+	usualQuantile = 0.5
 )
 
 // Pace is how fast the generations of a route were. The zero value knows only the pace of
@@ -97,14 +99,32 @@
 // Expected returns the time that a generation of so many tokens is expected to take. A prompt
 // that is longer than those observed takes proportionally longer to prefill.
 func (p *Pace) Expected(promptTokens, tokens int) time.Duration {
+	first, later := p.at(expectedQuantile, promptTokens, tokens)
+	return first + later
+}
+
+// Usual returns the times until the first token and until the end that half of such generations
+// stay within. The time until the first token includes waits at engines, which are long for some
+// generations while engines are full: higher quantiles would make a short generation seem long
+// then. As long as nothing was observed, the time until the end has no part for the first token.
+func (p *Pace) Usual(promptTokens, tokens int) (first, whole time.Duration) {
+	first, later := p.at(usualQuantile, promptTokens, tokens)
+	if len(p.firstToken.durations) == 0 {
+		return first, later
+	}
+	return first, first + later
+}
+
+// at returns the q-quantiles of the times until the first token and from then on.
+func (p *Pace) at(q float64, promptTokens, tokens int) (first, later time.Duration) {
 	if tokens <= 0 {
 		tokens = defaultTokens
 	}
-	first := max(minTimeToFirstToken, p.firstToken.Quantile(expectedQuantile))
+	first = max(minTimeToFirstToken, p.firstToken.Quantile(q))
 	if p.promptTokens > 0 && promptTokens > p.promptTokens {
 		first = time.Duration(float64(first) * float64(promptTokens) / float64(p.promptTokens))
 	}
-	return first + time.Duration(tokens)*max(minTimePerToken, p.perToken.Quantile(expectedQuantile))
+	return first, time.Duration(tokens) * max(minTimePerToken, p.perToken.Quantile(q))
 }
 
 const (
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -200,10 +200,15 @@
 		Logger: d.logger, FailureDomain: s.FailureDomain, Entry: s.Host,
 		WantsTight: s.ServiceWideAdmission,
 	})
+	var rooms gateway.RoomSource
+	if s.ServiceWideAdmission {
+		rooms = watcher
+	}
 	g := gateway.New(gateway.Options{
 		Fleet: watcher, Dialect: platform.Dialect{}, Name: s.Host, FailureDomain: s.FailureDomain,
 		Locator:  &evacuate.Locator{Pool: d.pool, AgentAddress: s.AgentAddressFor},
 		Reserver: platform.NewReserver(), CrashReporter: watcher, Permits: watcher, Outcomes: watcher,
+		Rooms:           rooms,
 		Regions:         failuredomain.NewMap(s.Regions),
 		MaxConfirmedAge: time.Duration(float64(s.MaxRevocationDelay) * confirmedAgeRatio),
 		RetryRatio:      s.RetryRatio * retryRatioFactor, RetryGrants: watcher,
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -45,6 +45,7 @@
 	}
 	drain := dispatch.NewDrain(g.elapsed(), notice, until)
 	g.drain.Store(drain)
+	g.rooms.stop()
 	select {
 	case <-ctx.Done():
 	case <-time.After(notice):
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,9 @@
 	Permits PermitSource
 	// Outcomes may be nil. Servers are then judged by this entry's requests only.
 	Outcomes OutcomePool
+	// Rooms grants the memory of services for all entries together. It may be nil. Each generation
+	// is then admitted.
+	Rooms RoomSource
 	// CrashReporter may be nil.
 	CrashReporter CrashReporter
 	Name          string
@@ -174,6 +177,7 @@
 	notices  *noticeBoard
 	outcomes *outcomeBoard
 	parts    *partGuard
+	rooms    *roomBoard
 	lengths  lengthPredictor
 	times    timePredictor
 	memory   *memoryBudget
@@ -207,6 +211,7 @@
 	g.limits, g.cold = newLimiter(&options), newColdLimiter(&options)
 	g.parts = newPartGuard(&options)
 	g.outcomes = newOutcomeBoard(&options)
+	g.rooms = newRoomBoard(&options)
 	evacuations := fleet.NewEvacuationLog(options.Logger)
 	options.Metrics.Gauge("gateway_evacuated_failure_domains_count", func() float64 {
 		return float64(len(options.Fleet.View().Evacuations))
@@ -219,9 +224,11 @@
 		evacuations.Update(v)
 		g.limits.update(v)
 		g.parts.update(v)
+		g.rooms.update(v)
 	})
 	g.cold.updateCold(options.Fleet.View())
 	g.services.update(0, options.Fleet.View())
+	g.rooms.update(options.Fleet.View())
 	return g
 }
 
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -69,6 +69,8 @@
 	suspect bool
 	// begun is set when a server began to answer the request.
 	begun bool
+	// room is the memory at the service that is counted for a generation.
+	room roomUse
 	// buffers is the memory that the response holds.
 	buffers budgetShare
 	logger  *zap.Logger
@@ -82,6 +84,7 @@
 	x := &exchange{g: g, r: r, w: w, metadata: g.options.Dialect.ReadRequest(r.Header),
 		buffers: budgetShare{budget: g.memory}}
 	defer x.buffers.release()
+	defer x.releaseRoom()
 	x.logger = g.logger.With(zap.String("request_id", x.metadata.ID))
 	if !x.admit() || x.refuseQuarantined() {
 		return
--- a/gateway/lengths.go
+++ b/gateway/lengths.go
@@ -124,6 +124,14 @@
 	return t.known(route.Name).pace.Expected(promptTokens, tokens)
 }
 
+// usual returns how long a generation of a route with an output of so many tokens usually takes, see
+// dispatch.Pace.
+func (t *timePredictor) usual(route *desired.Route, promptTokens, tokens int) (first, whole time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.known(route.Name).pace.Usual(promptTokens, tokens)
+}
+
 // known returns the times of a route, which may be empty. The caller holds t.mu.
 func (t *timePredictor) known(name string) *routeTimes {
 	if r := t.routes[name]; r != nil {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -13,12 +13,15 @@
 	"go.uber.org/zap"
 )
 
-// attempt sends the request to another server, unless a part of its prompt is held back or
-// the entry stops too soon.
+// attempt sends the request to another server, unless a part of its prompt is held back, the
+// service has no room for it or the entry stops too soon.
 func (x *exchange) attempt(ctx context.Context) (backend.Server, *upstream, dispatch.Result, error) {
 	if x.partHeld() {
 		return backend.Server{}, nil, dispatch.NoServer, nil
 	}
+	if result, ok := x.takeRoom(ctx); !ok {
+		return backend.Server{}, nil, result, nil
+	}
 	server, reservation, ok := x.place(ctx)
 	if !ok {
 		return server, nil, dispatch.NoServer, nil
@@ -67,8 +70,8 @@
 // delay.
 const maxReserveAttempts = 4
 
-// reserveTimeout bounds the time from the arrival of a request during which its
-// reservation is retried, with delays of one to two times reserveRetryDelay.
+// reserveTimeout bounds the time from the arrival of a request, without its wait for room, during
+// which its reservation is retried, with delays of one to two times reserveRetryDelay.
 const (
 	reserveTimeout    = 1200 * time.Millisecond
 	reserveRetryDelay = 40 * time.Millisecond
@@ -118,7 +121,7 @@
 				continue
 			}
 		}
-		if ctx.Err() != nil || time.Since(x.r.arrived) > reserveTimeout {
+		if ctx.Err() != nil || time.Since(x.r.arrived)-x.room.wait > reserveTimeout {
 			x.logger.Info("generation queues without a reservation", zap.String("backend_server", first.ID),
 				zap.Int("servers_asked", asked))
 			return x.placeUnreserved(ctx, first, query)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -36,6 +36,10 @@
 		x.refuseStopping()
 		return
 	}
+	if x.room.refusal != nil {
+		x.refuseForRoom()
+		return
+	}
 	if x.refuseHeldPart() || x.refuseEvacuated() {
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -162,8 +162,9 @@
 		x.g.lengths.observe(x.route.Name, x.metadata, events*eventTokens)
 	}
 	if events > 0 {
-		x.g.times.observeGeneration(x.route.Name, x.metadata.PromptTokens, (events-1)*eventTokens, timing.firstEvent,
-			timing.lastEvent.Sub(x.r.arrived)-timing.firstEvent)
+		// The wait for room is no property of the route.
+		x.g.times.observeGeneration(x.route.Name, x.metadata.PromptTokens, (events-1)*eventTokens,
+			max(0, timing.firstEvent-x.room.wait), timing.lastEvent.Sub(x.r.arrived)-timing.firstEvent)
 	}
 }
 
