--- a/core/serviceroom/account.go
+++ b/core/serviceroom/account.go
@@ -12,6 +12,9 @@
 	// minSilence is how long a renewal has to be unanswered before the entry admits without a
 	// bound, so that an entry whose process was suspended asks first.
 	minSilence = 200 * time.Millisecond
+	// minPatience is the wait that every generation is given, so that the leader can decide about one
+	// that has no time left while there is room.
+	minPatience = 300 * time.Millisecond
 )
 
 // Decided is a waiting generation that was decided.
@@ -29,7 +32,8 @@
 //   - calls Poll after an Arrive that waits and then at least every 50 ms while something waits,
 //   - calls Renewal at least every 50 ms while the service is tight, and after each Arrive that
 //     waits; if one is due it sends it and passes the answer to Granted with the time at which
-//     Renewal was called, however late. A call that failed needs no report.
+//     Renewal was called, however late. A call that failed needs no report; a call to a member
+//     that does not lead may be repeated with the same Renewal at the leader.
 //
 // A generation that was admitted counts as running from the decision on.
 type Account struct {
@@ -51,6 +55,8 @@
 	lease      int
 	validUntil time.Duration
 	freeIn     time.Duration
+	// reported is the lease that the last renewal reported.
+	reported int
 	// tightSince is when the service became tight, sentAt when the last renewal was sent,
 	// grantedAt when that was sent whose grant is in use. unanswered is when the first renewal
 	// since then was sent. They are meaningful while the corresponding flags are set.
@@ -93,7 +99,10 @@
 
 // Stop tells the account that the entry accepts no new generations. Renewals go on until the
 // last generation ended, but ask for no lease beyond what runs and waits.
-func (a *Account) Stop() { a.stopping, a.changed = true, true }
+func (a *Account) Stop() {
+	a.stopping, a.changed = true, true
+	a.lease = min(a.lease, a.inUse)
+}
 
 // Arrive reports whether a long generation waits. If not, it is admitted and counts as running
 // until End. If it waits, a later Granted or Poll decides it, Poll at once if too many wait.
@@ -113,7 +122,7 @@
 		a.undelivered = append(a.undelivered, Decided{d.ID, a.refusal(d, TooManyWaiting)})
 		return true
 	}
-	a.waiting[d.ID] = &waitingGeneration{Demand: d, arrived: now - d.Age, until: now + d.Patience}
+	a.waiting[d.ID] = &waitingGeneration{Demand: d, arrived: now - d.Age, until: now + max(d.Patience, minPatience)}
 	a.waitingFor[d.Caller]++
 	return true
 }
@@ -145,13 +154,13 @@
 
 // End tells that a generation ended, or that its caller left while it waited.
 func (a *Account) End(now time.Duration, id uint64) {
+	a.undelivered = slices.DeleteFunc(a.undelivered, func(d Decided) bool { return d.ID == id })
 	if w := a.waiting[id]; w != nil {
 		a.removeWaiting(w)
 		return
 	}
 	g, runs := a.running[id]
 	if !runs {
-		a.undelivered = slices.DeleteFunc(a.undelivered, func(d Decided) bool { return d.ID == id })
 		return
 	}
 	delete(a.running, id)
@@ -160,7 +169,7 @@
 	if a.callers[g.caller] -= g.need; a.callers[g.caller] <= 0 {
 		delete(a.callers, g.caller)
 	}
-	if a.freeIn > 0 && g.need > 0 {
+	if a.freeIn > 0 || a.stopping {
 		a.lease = max(a.inUse, a.lease-g.need)
 		a.changed = true
 	}
@@ -205,6 +214,7 @@
 	if a.known(now) && !a.stopping {
 		r.Lease = max(a.inUse, a.lease)
 	}
+	a.reported = r.Lease
 	for _, w := range a.ordered() {
 		d := w.Demand
 		d.Age, d.Patience = now-w.arrived, max(0, w.until-now)
@@ -245,8 +255,9 @@
 	}
 	a.decide(now, sentAt, g)
 	if a.freeIn > 0 {
-		// The rest of the lease is needed elsewhere.
+		// The rest of the lease is needed elsewhere. The ledger counts it until the next renewal.
 		a.lease = a.inUse
+		a.changed = a.changed || a.reported > a.lease
 	}
 	a.admitFromLease(now)
 	return a.Poll(now)
