--- a/core/serviceroom/order.go
+++ b/core/serviceroom/order.go
@@ -41,13 +41,17 @@
 	equal int
 }
 
+// lateEntry is the time since the last renewal of an entry from which no room is kept for what
+// waits there. The entry gets its turn when it renews.
+const lateEntry = renewInterval + renewSpacing
+
 // newOrder returns the order at a turn of an entry. Generations of other entries whose patience
 // has ended are left out: these entries refuse them.
 func newOrder(now time.Duration, entries map[string]*entryLease, own *entryLease, use map[string]int, grantable int) *order {
 	byCaller := map[string]*line{}
 	for _, e := range entries {
 		for _, q := range e.waiting {
-			if e != own && now >= q.until {
+			if e != own && (now >= q.until || now-e.renewedAt > lateEntry) {
 				continue
 			}
 			c := byCaller[q.Caller]
