--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -148,6 +148,28 @@
 	}
 }
 
+// TestUsualPace guards against short generations that seem long, because some of them waited at full
+// engines, and against long ones of an unknown route that seem short.
+func TestUsualPace(t *testing.T) {
+	if first, whole := new(Pace).Usual(3000, 160); first != minTimeToFirstToken || whole != 1600*time.Millisecond {
+		t.Errorf("no observation: %v and %v", first, whole)
+	}
+	var p Pace
+	for i := range 50 {
+		first := 600 * time.Millisecond
+		if i%5 == 0 {
+			first = 3 * time.Second
+		}
+		p.Observe(2500, 10, first, 200*time.Millisecond)
+	}
+	if first, whole := p.Usual(2500, 10); first != 600*time.Millisecond || whole != 800*time.Millisecond {
+		t.Errorf("%v and %v", first, whole)
+	}
+	if expected := p.Expected(2500, 10); expected != 3200*time.Millisecond {
+		t.Errorf("%v expected", expected)
+	}
+}
+
 // TestRecent guards against bounds that trust a few observations, and against old
 // observations that are never forgotten.
 func TestRecent(t *testing.T) {
