--- a/core/serviceroom/ledger.go
+++ b/core/serviceroom/ledger.go
@@ -74,6 +74,8 @@
 	// admitted are the demands that were admitted in the last answer, by ID, until the entry
 	// reports that they run.
 	admitted map[uint64]Demand
+	// waitingNeed and admittedNeed are sums over waiting and admitted.
+	waitingNeed, admittedNeed int
 	// freeIn is that of the last answer, from which the entry derives its own refusals.
 	freeIn time.Duration
 }
@@ -146,16 +148,23 @@
 		s.leased += e.leased
 		s.short += e.short
 		s.waiting += len(e.waiting)
-		for _, q := range e.waiting {
-			s.waitingNeed += q.Need
-		}
-		for _, d := range e.admitted {
-			s.admitted += d.Need
-		}
+		s.waitingNeed += e.waitingNeed
+		s.admitted += e.admittedNeed
 	}
 	return s
 }
 
+// count computes the sums of an entry after waiting or admitted changed.
+func (e *entryLease) count() {
+	e.waitingNeed, e.admittedNeed = 0, 0
+	for _, q := range e.waiting {
+		e.waitingNeed += q.Need
+	}
+	for _, d := range e.admitted {
+		e.admittedNeed += d.Need
+	}
+}
+
 // kept is what is kept free of the total, and what is left.
 type kept struct {
 	fragmentation, headroom, short, grantable int
--- a/core/serviceroom/renew.go
+++ b/core/serviceroom/renew.go
@@ -126,6 +126,7 @@
 		waiting++
 	}
 	e.admitted = admitted
+	e.count()
 	l.rememberGone(now, e, previous)
 	return beyond
 }
@@ -177,14 +178,13 @@
 
 // answer decides about what waits at an entry, in the order of all entries, and sets its lease.
 func (l *Ledger) answer(now time.Duration, e *entryLease, r Renewal, held int, beyond []*queued) Grant {
-	lease := e.inUse
-	for _, d := range e.admitted {
-		lease += d.Need
-	}
-	e.leased = max(held, lease)
+	e.leased = max(held, e.inUse+e.admittedNeed)
 	s, grantable := l.sums(), l.free(now).grantable
-	t := &turn{now: now, perSecond: l.freedPerSecond(now, s, grantable), use: l.use(), grantable: grantable,
+	t := &turn{now: now, perSecond: l.freedPerSecond(now, s, grantable), grantable: grantable,
 		decisions: make(map[uint64]Decision, len(r.Waiting))}
+	if len(r.Waiting) > 0 {
+		t.use = l.use()
+	}
 	t.room = grantable - s.leased - l.unreported
 	t.left = t.room
 	for id, d := range e.admitted {
@@ -196,15 +196,13 @@
 		l.refuse(t, q, TooManyWaiting)
 		t.ahead -= q.Need
 	}
-	lease = e.inUse
-	for _, d := range e.admitted {
-		lease += d.Need
-	}
+	lease := e.inUse + e.admittedNeed
 	e.leased = max(held, lease)
 	s = l.sums()
 	free := grantable - s.leased - l.unreported
 	e.freeIn = l.freeIn(t, s, free)
-	if e.freeIn == 0 && !r.Stopping {
+	// What has not been reported leaves no room for leases beyond what waits.
+	if e.freeIn == 0 && !r.Stopping && l.unreported == 0 {
 		lease += l.spare(free + e.leased - lease)
 		e.leased = max(held, lease)
 	}
@@ -270,6 +268,7 @@
 		_, decided := t.decisions[q.ID]
 		return decided
 	})
+	e.count()
 }
 
 // fits reports whether a generation may be admitted next. One that needs more than can be granted
--- a/core/serviceroom/room.go
+++ b/core/serviceroom/room.go
@@ -24,9 +24,11 @@
 	renewInterval = 250 * time.Millisecond
 	// maxWaitingPerCaller bounds the generations of one caller that wait, at all entries together,
 	// and maxWaitingAtEntry those at one entry. At 1.7 times the load of docs/service-load.md about
-	// 13 generations a second exceed the capacity, so about 52 wait for up to 4 s.
+	// 13 generations a second exceed the capacity, so about 52 wait for up to 4 s. An entry that is
+	// cut off admits all that waits there, so its bound is what a caller with half of the room
+	// could use from one entry in that time.
 	maxWaitingPerCaller = 128
-	maxWaitingAtEntry   = 32
+	maxWaitingAtEntry   = 16
 	// maxEntryWaiting bounds the generations of all callers that wait at one entry.
 	maxEntryWaiting = 512
 	// minRetryAfter and maxRetryAfter bound the time after which refused callers are told to
