Refuse no burst of a caller while there is room

Cause: the bounds of waiting generations were applied before the room was looked at, so a burst of 17 of one caller at an entry was refused in part while the service had room. A large demand that could not get room in time kept others out until its patience ended. Change: the bounds hold for what finds no room; room is collected only for what can get it in time; what an entry holds beyond what runs is room for what waits there.

--- a/core/serviceroom/account.go
+++ b/core/serviceroom/account.go
@@ -120,7 +120,9 @@
 		a.admit(d)
 		return false
 	}
-	if a.waitingFor[d.Caller] >= maxWaitingAtEntry || len(a.waiting) >= maxEntryWaiting {
+	// A burst that finds room only waits for a call, so it is not bounded by caller.
+	queues := a.granted && a.freeIn > 0
+	if queues && a.waitingFor[d.Caller] >= maxWaitingAtEntry || len(a.waiting) >= maxEntryWaiting {
 		a.undelivered = append(a.undelivered, Decided{d.ID, a.refusal(d, TooManyWaiting)})
 		return true
 	}
--- a/core/serviceroom/account_test.go
+++ b/core/serviceroom/account_test.go
@@ -207,3 +207,33 @@
 		}
 	}
 }
+
+// Guards against refusals of a burst of one caller at one entry while there is room, and for more
+// of it than has room.
+func TestBurstOfACaller(t *testing.T) {
+	for room, want := range map[int]int{100_000: 200, 15_000: 150} {
+		l := tightLedger(room + 50)
+		a := NewAccount("e")
+		a.SetTight(start, true)
+		a.Granted(start, start, l.Renew(start, renew(t, a, start)))
+		running := 0
+		for id := range uint64(200) {
+			if !a.Arrive(start+time.Millisecond, waiting(id, "c", 100)) {
+				running++
+			}
+		}
+		for i := range 3 {
+			at := start + time.Duration(i+1)*renewSpacing
+			r, due := a.Renewal(at)
+			if !due {
+				break
+			}
+			for _, d := range a.Granted(at, at, l.Renew(at, r)) {
+				if d.Admit {
+					running++
+				}
+			}
+		}
+		expect(t, "running", running, want)
+	}
+}
--- a/core/serviceroom/ledger_test.go
+++ b/core/serviceroom/ledger_test.go
@@ -130,6 +130,21 @@
 	}
 }
 
+// Guards against room that is collected for a large demand which can not get it in time.
+func TestNoRoomIsCollectedInVain(t *testing.T) {
+	l := tightLedger(1150)
+	fill(l, start, "a", 500)
+	fill(l, start, "b", 500)
+	large, small := waiting(1, "a", 600), waiting(2, "b", 50)
+	large.Patience = time.Minute
+	l.Renew(start, Renewal{Entry: "e", Waiting: []Demand{large}})
+	now := start + 500*time.Millisecond
+	fill(l, now, "a", 500)
+	fill(l, now, "b", 500)
+	large.Age, large.Patience = 2*time.Second, time.Second
+	expect(t, "admitted", admitted(l.Renew(now, Renewal{Entry: "e", Waiting: []Demand{large, small}})), []uint64{2})
+}
+
 // Guards against a generation that waits for ever because it can never fit, and against one that
 // is refused although it could run alone.
 func TestDemandsLargerThanTheCapacity(t *testing.T) {
--- a/core/serviceroom/renew.go
+++ b/core/serviceroom/renew.go
@@ -88,21 +88,17 @@
 	return beyond
 }
 
-// queue replaces the waiting generations of an entry, and returns those beyond the bounds.
+// queue replaces the waiting generations of an entry, and returns those beyond the bound of all.
 func (l *Ledger) queue(now time.Duration, e *entryLease, r Renewal) (beyond []*queued) {
 	previous := make(map[uint64]*queued, len(e.waiting))
 	for _, q := range e.waiting {
 		previous[q.ID] = q
 	}
 	e.waiting = nil
-	waiting, byCaller := 0, map[string]int{}
+	waiting, admitted := 0, map[uint64]Demand{}
 	for _, other := range l.entries {
 		waiting += len(other.waiting)
-		for _, q := range other.waiting {
-			byCaller[q.Caller]++
-		}
 	}
-	admitted := map[uint64]Demand{}
 	for _, d := range r.Waiting {
 		d.Need = max(d.Need, 0)
 		if a, was := e.admitted[d.ID]; was {
@@ -114,7 +110,7 @@
 		delete(previous, d.ID)
 		if q == nil {
 			q = l.arrival(now, r.Entry, d)
-			if waiting >= maxWaiting || byCaller[d.Caller] >= maxWaitingPerCaller {
+			if waiting >= maxWaiting {
 				beyond = append(beyond, q)
 				continue
 			}
@@ -122,7 +118,6 @@
 		}
 		q.until = now + max(d.Patience, 0)
 		e.waiting = append(e.waiting, q)
-		byCaller[d.Caller]++
 		waiting++
 	}
 	e.admitted = admitted
@@ -171,7 +166,8 @@
 	// need of those that were not refused so far.
 	room, left, ahead int
 	grantable         int
-	// blocked is set behind an overdue generation that does not fit.
+	// blocked is set behind an overdue generation that does not fit yet, but is expected to before
+	// its patience ends: room is collected for it.
 	blocked   bool
 	decisions map[uint64]Decision
 }
@@ -185,17 +181,23 @@
 	if len(r.Waiting) > 0 {
 		t.use = l.use()
 	}
-	t.room = grantable - s.leased - l.unreported
+	// What the entry holds beyond what runs is room for what waits there.
+	t.room = grantable - (s.leased - e.leased + e.inUse + e.admittedNeed) - l.unreported
 	t.left = t.room
 	for id, d := range e.admitted {
 		t.decisions[id] = Decision{Admit: true, Room: t.room, Share: t.use[d.Caller]}
 	}
 	l.decide(t, e)
-	for _, q := range beyond {
+	for _, q := range append(beyond, l.beyondBound(e)...) {
 		t.ahead += q.Need
 		l.refuse(t, q, TooManyWaiting)
 		t.ahead -= q.Need
 	}
+	e.waiting = slices.DeleteFunc(e.waiting, func(q *queued) bool { return t.decided(q) })
+	for _, q := range e.waiting {
+		q.considered = true
+	}
+	e.count()
 	lease := e.inUse + e.admittedNeed
 	e.leased = max(held, lease)
 	s = l.sums()
@@ -254,21 +256,46 @@
 			}
 			continue
 		}
-		refused := false
-		if own {
-			refused = l.refuseLate(t, q)
-		}
-		if refused {
+		if own && l.refuseLate(t, q) {
 			t.ahead -= q.Need
-		} else if q.overdue(t.now) {
+		} else if q.overdue(t.now) && until(t.ahead-t.room, t.perSecond) < q.until-t.now {
 			t.blocked = true
 		}
 	}
-	e.waiting = slices.DeleteFunc(e.waiting, func(q *queued) bool {
-		_, decided := t.decisions[q.ID]
-		return decided
-	})
-	e.count()
+	e.waiting = slices.DeleteFunc(e.waiting, func(q *queued) bool { return t.decided(q) })
+}
+
+// decided reports whether a generation was decided in this turn.
+func (t *turn) decided(q *queued) bool {
+	_, decided := t.decisions[q.ID]
+	return decided
+}
+
+// beyondBound returns what has just arrived at an entry, found no room, and is more than its
+// caller may have waiting.
+func (l *Ledger) beyondBound(e *entryLease) (beyond []*queued) {
+	fresh := map[string]int{}
+	for _, q := range e.waiting {
+		if !q.considered {
+			fresh[q.Caller]++
+		}
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	waiting := map[string]int{}
+	for _, other := range l.entries {
+		for _, q := range other.waiting {
+			waiting[q.Caller]++
+		}
+	}
+	for _, q := range slices.Backward(e.waiting) {
+		if !q.considered && waiting[q.Caller] > maxWaitingPerCaller {
+			waiting[q.Caller]--
+			beyond = append(beyond, q)
+		}
+	}
+	return beyond
 }
 
 // fits reports whether a generation may be admitted next. One that needs more than can be granted
@@ -290,7 +317,6 @@
 	case patience < lastTurn:
 		l.refuse(t, q, WaitedTooLong)
 	default:
-		q.considered = true
 		return false
 	}
 	return true
