Wait for a late answer to the renewal of a lease

Cause: the account of an entry sends the next renewal after 250 ms without an answer, and still uses the decisions of a late one; the call was given up after 300 ms. Change: a renewal may take as long as a lease lasts. Measured: go test -race ./fleet -run 'TightFlag|NoLeases|NoTight' passes.

--- a/fleet/room.go
+++ b/fleet/room.go
@@ -14,8 +14,9 @@
 	"go.uber.org/zap"
 )
 
-// roomTimeout limits one renewal of a lease, so that two more fit into the lifetime of a lease.
-const roomTimeout = 300 * time.Millisecond
+// roomTimeout limits one renewal of a lease. A late answer still has decisions, and an entry sends
+// the next renewal meanwhile.
+const roomTimeout = serviceroom.LeaseLifetime
 
 // roomTable grants the memory of services to entries while this member leads, and knows which
 // services are tight, which the other members copy.
