Publish tight services only when the leader has learned what runs

Cause: a leader published what its ledgers knew before the leases of its predecessor had ended, and combined it with what the predecessor had published. core/serviceroom asks that nothing is published before; its grants tell entries that renew that the service is tight until then. Change: within the first lease lifetime of a term, the predecessor's publication holds unchanged. A test of a leader that knows of none, as after the loss of all members.

--- a/fleet/room.go
+++ b/fleet/room.go
@@ -94,7 +94,6 @@
 	}
 	grant := ledger.Renew(now, r)
 	t.publishLocked(now)
-	grant.Tight = slices.Contains(t.tight, service)
 	t.logRefusals(now, service, r, grant)
 	return grant, true
 }
@@ -118,11 +117,14 @@
 }
 
 // publishLocked publishes which services are tight, if that changed or a new leader has learned
-// it. The caller holds t.mu.
+// it. Before that, what its predecessor published holds. The caller holds t.mu.
 func (t *roomTable) publishLocked(now time.Duration) {
+	if now < t.grantsFrom {
+		return
+	}
 	var tight []string
 	for service, ledger := range t.ledgers {
-		isTight := ledger.Tight(now) || now < t.grantsFrom && slices.Contains(t.tight, service)
+		isTight := ledger.Tight(now)
 		if isTight {
 			tight = append(tight, service)
 		}
@@ -131,7 +133,7 @@
 		}
 	}
 	slices.Sort(tight)
-	if slices.Equal(tight, t.tight) && (t.stamp.Source == t.termSource || now < t.grantsFrom) {
+	if slices.Equal(tight, t.tight) && t.stamp.Source == t.termSource {
 		return
 	}
 	t.tight, t.stamp = tight, Stamp{Source: t.termSource, Number: t.stamp.Number + 1}
--- a/fleet/room_test.go
+++ b/fleet/room_test.go
@@ -151,6 +151,24 @@
 	}
 }
 
+// Guards against entries that admit everything after all control members were lost, because none
+// knows any more which services are tight.
+func TestLeaderWithoutMemoryLearnsBeforeItGrants(t *testing.T) {
+	table := newRoomTable(0, 9000)
+	if grant, leads := table.renew(time.Second/2, "llm", waitingRenewal("e1", 2000)); !leads || !grant.Tight || len(grant.Decisions) > 0 {
+		t.Errorf("granted %+v, leads: %v", grant, leads)
+	}
+	if table.stamp != (Stamp{}) {
+		t.Errorf("published as %v before it knew", table.stamp)
+	}
+	for at := serviceroom.LeaseLifetime; at < 4*time.Second; at += loadPublishInterval {
+		table.setCapacities(at, fourEngines(100))
+	}
+	if view := table.received(); view.Tight["llm"] || view.TightStamp == (Stamp{}) {
+		t.Errorf("with room: %v, %v", view.Tight, view.TightStamp)
+	}
+}
+
 // Guards against publications without a change, which each entry would receive, against services
 // that stay tight after they are gone, and against gauges of a member that no longer leads.
 func TestTightServicesArePublishedOnce(t *testing.T) {
