Split the merge of watch replies and tell of waits for room in explanations

Cause: Watcher.mergeReply had grown to 70 lines, and a wait for room did not show among the causes that arbutusctl explain prints. Measured: go test -race ./fleet (tests of leases, limits, standings, parts, lists and watches) and go test ./explain pass.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -175,6 +175,9 @@
 		return fmt.Sprintf("%s answered %s itself (%s): %s", l.Host, l.Get("status"), l.Get("reason"), l.Get("detail"))
 	case "no room at a backend server", "generation queues without a reservation":
 		return fmt.Sprintf("%s: %s %s", l.Host, l.Message, l.Get("backend_server"))
+	case "generation waited for room":
+		return fmt.Sprintf("%s let the generation, which needs %s tokens, wait %s s for room at the service %s",
+			l.Host, l.Get("need_tokens"), l.Get("waited_seconds"), l.Get("service"))
 	case "generation moved":
 		if moveError := l.Get("error"); moveError != "" {
 			return fmt.Sprintf("%s could not move the generation to %s with %s s left: %s",
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -11,6 +11,7 @@
 	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/quarantine"
+	"arbutusmast.example/arbutusmast/core/serverhealth"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
 )
 
@@ -133,10 +134,39 @@
 	v.Reports = loads
 }
 
-// applyTight replaces the services that are tight by those in a reply.
-func (v *View) applyTight(reply *WatchReply) {
-	v.Tight, v.TightStamp = make(map[string]bool, len(reply.Tight)), reply.TightStamp
-	for _, service := range reply.Tight {
-		v.Tight[service] = true
+// applyTables replaces the limits, parts, standings and tight services by those in a reply that was
+// made at a time, and reports whether the view changed.
+func (v *View) applyTables(reply *WatchReply, made time.Duration) (changed bool) {
+	if reply.HasLimits {
+		v.Limits, v.limitsStamp = make(map[string]serverlimit.Observation, len(reply.Limits)), reply.LimitsStamp
+		for server, age := range reply.Limits {
+			v.Limits[server] = age.At(made)
+		}
+		changed = true
 	}
+	if reply.HasParts {
+		v.Parts, v.partsStamp = make([]quarantine.PartStatus, 0, len(reply.Parts)), reply.PartsStamp
+		for _, s := range reply.Parts {
+			v.Parts = append(v.Parts, s.Absolute(made))
+		}
+		changed = true
+	}
+	if reply.HasStandings {
+		v.Standings, v.standingsStamp = make(Standings, len(reply.Standings)), reply.StandingsStamp
+		for _, s := range reply.Standings {
+			v.Standings[s.Service] = make(map[string]serverhealth.Status, len(s.Servers))
+			for _, status := range s.Servers {
+				v.Standings[s.Service][status.Server] = status
+			}
+		}
+		changed = true
+	}
+	if reply.HasTight {
+		v.Tight, v.TightStamp = make(map[string]bool, len(reply.Tight)), reply.TightStamp
+		for _, service := range reply.Tight {
+			v.Tight[service] = true
+		}
+		changed = true
+	}
+	return changed
 }
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -8,9 +8,6 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/desired"
-	"arbutusmast.example/arbutusmast/core/quarantine"
-	"arbutusmast.example/arbutusmast/core/serverhealth"
-	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -321,32 +318,7 @@
 			changed = true
 		}
 	}
-	if reply.HasLimits {
-		next.Limits, next.limitsStamp = make(map[string]serverlimit.Observation, len(reply.Limits)), reply.LimitsStamp
-		for server, age := range reply.Limits {
-			next.Limits[server] = age.At(sent + reply.Held)
-		}
-		changed = true
-	}
-	if reply.HasParts {
-		next.Parts, next.partsStamp = make([]quarantine.PartStatus, 0, len(reply.Parts)), reply.PartsStamp
-		for _, s := range reply.Parts {
-			next.Parts = append(next.Parts, s.Absolute(sent+reply.Held))
-		}
-		changed = true
-	}
-	if reply.HasStandings {
-		next.Standings, next.standingsStamp = make(Standings, len(reply.Standings)), reply.StandingsStamp
-		for _, s := range reply.Standings {
-			next.Standings[s.Service] = make(map[string]serverhealth.Status, len(s.Servers))
-			for _, status := range s.Servers {
-				next.Standings[s.Service][status.Server] = status
-			}
-		}
-		changed = true
-	}
-	if reply.HasTight {
-		next.applyTight(reply)
+	if next.applyTables(reply, sent+reply.Held) {
 		changed = true
 	}
 	if len(reply.Members) > 0 {
--- a/gateway/roomwait.go
+++ b/gateway/roomwait.go
@@ -79,16 +79,11 @@
 	for {
 		select {
 		case decision := <-waiter:
-			wait := time.Since(start)
 			if !decision.Admit {
 				x.room.refusal = &decision
 				return dispatch.NoServer, false
 			}
-			x.g.rooms.metrics.waited.Add(x.service, 1)
-			x.g.rooms.metrics.wait.Record(wait)
-			x.logger.Info("generation waited for room", zap.String("service", x.service), zap.String("caller", x.callerName()),
-				zap.Int("need_tokens", x.room.need), zap.Duration("waited_seconds", wait),
-				zap.Int("room_tokens", decision.Room), zap.Int("caller_tokens", decision.Share))
+			x.recordWait(time.Since(start), decision)
 			return dispatch.NoServer, true
 		case <-ctx.Done():
 			return dispatch.NoServer, false
@@ -101,6 +96,17 @@
 	}
 }
 
+// recordWait counts and logs a generation that was admitted after a wait.
+func (x *exchange) recordWait(wait time.Duration, decision serviceroom.Decision) {
+	x.g.rooms.metrics.waited.Add(x.service, 1)
+	x.g.rooms.metrics.wait.Record(wait)
+	lease, share := x.room.service.leaseAndShare(x.callerName())
+	x.logger.Info("generation waited for room", zap.String("service", x.service), zap.String("caller", x.callerName()),
+		zap.Int("need_tokens", x.room.need), zap.Int("priority", x.priority), zap.Duration("waited_seconds", wait),
+		zap.Int("room_tokens", decision.Room), zap.Int("lease_tokens", lease), zap.Int("caller_tokens", decision.Share),
+		zap.Int("caller_at_entry_tokens", share))
+}
+
 // releaseRoom ends the need of the generation, however it ended.
 func (x *exchange) releaseRoom() {
 	switch s := x.room.service; {
@@ -122,7 +128,8 @@
 	retryAfter := (d.RetryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
 	x.fail(http.StatusServiceUnavailable, verdict.NotRun, "no room for the generation", verdict.ReasonOverloaded, retryAfter,
 		zap.Stringer("cause", d.Reason), zap.String("service", x.service), zap.String("caller", x.callerName()),
-		zap.Int("need_tokens", x.room.need), zap.Duration("waited_seconds", x.room.wait), zap.Int("room_tokens", d.Room),
+		zap.Int("need_tokens", x.room.need), zap.Int("priority", x.priority),
+		zap.Duration("waited_seconds", x.room.wait), zap.Int("room_tokens", d.Room),
 		zap.Int("lease_tokens", lease), zap.Int("caller_tokens", d.Share), zap.Int("caller_at_entry_tokens", share))
 }
 
