Test bounds and late answers that no test held

Change: tests for room collected in vain, returned requests that stay remembered, each bound of the memory, older answers, late decisions and unused leases.

--- a/core/serviceroom/account_test.go
+++ b/core/serviceroom/account_test.go
@@ -99,6 +99,16 @@
 	expect(t, "decided without an answer", len(a.Poll(now+minSilence)), 1)
 }
 
+// Guards against a refusal when the patience ends and the entry knows nothing of the room.
+func TestPatienceEndsWithoutAGrant(t *testing.T) {
+	a, _ := tightAccount(t, 0, time.Second)
+	now := start + time.Minute
+	d := waiting(1, "c", 100)
+	d.Patience = 0
+	a.Arrive(now, d)
+	expect(t, "decided", a.Poll(now+minPatience), []Decided{{1, Decision{Admit: true}}})
+}
+
 // Guards against a wait beyond the patience, against a refusal without a time, and against a
 // generation without patience that is refused before the leader was asked.
 func TestPatienceEnds(t *testing.T) {
@@ -130,7 +140,27 @@
 	expect(t, "running and lease", []int{a.inUse, a.lease}, []int{100, 100})
 	stale := Grant{Lease: 900, Valid: LeaseLifetime, Tight: true}
 	a.Granted(second, first, stale)
-	expect(t, "lease after an older answer", a.lease, 100)
+	expect(t, "lease after an older answer", []any{a.lease, a.freeIn}, []any{100, time.Second})
+}
+
+// Guards against a late decision that uses up the lease for others, though its room came with it.
+func TestLateDecisionBringsItsRoom(t *testing.T) {
+	a, _ := tightAccount(t, 250, 0)
+	a.Arrive(start, waiting(1, "c", 300))
+	first, second := start+100*time.Millisecond, start+100*time.Millisecond+answerWait
+	renew(t, a, first)
+	renew(t, a, second)
+	a.Granted(second, first, Grant{Lease: 550, Valid: LeaseLifetime, Tight: true, Decisions: map[uint64]Decision{1: {Admit: true}}})
+	expect(t, "running and lease", []int{a.inUse, a.lease}, []int{300, 550})
+}
+
+// Guards against an unused lease that is not returned while others wait.
+func TestUnusedLeaseIsReturnedWhileOthersWait(t *testing.T) {
+	a, _ := tightAccount(t, 250, 0)
+	at := start + renewInterval
+	expect(t, "reported before", renew(t, a, at).Lease, 250)
+	a.Granted(at, at, Grant{Lease: 250, Valid: LeaseLifetime, Tight: true, FreeIn: time.Second})
+	expect(t, "reported at once", renew(t, a, at+renewSpacing).Lease, 0)
 }
 
 // Guards against a refusal that arrives after the lease has ended: it says nothing of the room now.
--- a/core/serviceroom/failure_test.go
+++ b/core/serviceroom/failure_test.go
@@ -229,6 +229,27 @@
 	expect(t, "later", []int{s.Entries, s.Waiting, s.Remembered, len(l.memory.callers)}, []int{0, 0, 0, 0})
 }
 
+// Guards against memory that grows with the refusals of one caller or with the number of callers.
+func TestRememberedRefusalsAreBounded(t *testing.T) {
+	for _, c := range []struct{ callers, each, want int }{{1, 1000, maxRememberedPerCaller}, {100, 100, maxRemembered}} {
+		m := newMemory()
+		for i := range c.each {
+			for caller := range c.callers {
+				m.put(fmt.Sprint(caller), uint64(i), record{notBefore: time.Duration(i), need: 10})
+			}
+		}
+		count := 0
+		for name, c := range m.callers {
+			count += len(c.records)
+			expect(t, "need of "+name, c.need, 10*len(c.records))
+		}
+		expect(t, "remembered", []int{count, m.count}, []int{c.want, c.want})
+		if _, known := m.get("0", uint64(c.each-1)); !known {
+			t.Error("the last refusal was forgotten before older ones")
+		}
+	}
+}
+
 // Guards against one caller whose waiting generations fill the queue at all entries together.
 func TestWaitingGenerationsOfACallerAreBounded(t *testing.T) {
 	l := tightLedger(1050)
--- a/core/serviceroom/ledger_test.go
+++ b/core/serviceroom/ledger_test.go
@@ -109,6 +109,8 @@
 			want = 3
 		}
 		expect(t, fmt.Sprint("early ", early), admitted(g), []uint64{want})
+		// What waits or runs is no longer expected to come back.
+		expect(t, "remembered", l.Stats(now).Remembered, 0)
 	}
 }
 
@@ -136,12 +138,12 @@
 	fill(l, start, "a", 500)
 	fill(l, start, "b", 500)
 	large, small := waiting(1, "a", 600), waiting(2, "b", 50)
-	large.Patience = time.Minute
+	large.Age, large.Patience = 10*time.Second, time.Minute
 	l.Renew(start, Renewal{Entry: "e", Waiting: []Demand{large}})
 	now := start + 500*time.Millisecond
 	fill(l, now, "a", 500)
 	fill(l, now, "b", 500)
-	large.Age, large.Patience = 2*time.Second, time.Second
+	large.Age, large.Patience = 10500*time.Millisecond, time.Second
 	expect(t, "admitted", admitted(l.Renew(now, Renewal{Entry: "e", Waiting: []Demand{large, small}})), []uint64{2})
 }
 
