--- a/core/serviceroom/account.go
+++ b/core/serviceroom/account.go
@@ -9,7 +9,7 @@
 const (
 	// answerWait is how long an entry waits for the answer to a renewal before it sends another. Three
 	// in a row have to be lost before the lease ends: with 500 ms two had, and in the simulation, which
-	// loses or delays 5 % of the calls, some entry admitted all that waited every few seconds.
+	// loses 1 % of the messages and delays 2 %, some entry admitted all that waited every few seconds.
 	answerWait = 250 * time.Millisecond
 	// minSilence is how long a renewal has to be unanswered before the entry admits without a
 	// bound, so that an entry whose process was suspended asks first.
--- a/core/serviceroom/ledger.go
+++ b/core/serviceroom/ledger.go
@@ -217,8 +217,10 @@
 	// Entries and Waiting are numbers of entries with leases and of waiting generations, and
 	// Remembered that of refused requests whose turn is kept.
 	Entries, Waiting, WaitingNeed, Remembered int
-	// FreedPerSecond is the rate at which room becomes free.
+	// FreedPerSecond is the rate at which room becomes free, and FreeIn when an average generation
+	// may expect some, 0 if there is room and nobody waits.
 	FreedPerSecond float64
+	FreeIn         time.Duration
 	// Shares are by caller.
 	Shares map[string]Share
 }
@@ -233,6 +235,7 @@
 		Room: k.grantable - s.leased - l.unreported, Entries: len(l.entries), Waiting: s.waiting,
 		WaitingNeed: s.waitingNeed, Remembered: l.memory.count,
 		FreedPerSecond: l.freedPerSecond(now, s, k.grantable), Shares: map[string]Share{}}
+	stats.FreeIn = l.freeIn(stats.FreedPerSecond, s, stats.Room)
 	for _, e := range l.entries {
 		for caller, need := range e.running {
 			share := stats.Shares[caller]
--- a/core/serviceroom/renew.go
+++ b/core/serviceroom/renew.go
@@ -202,7 +202,7 @@
 	e.leased = max(held, lease)
 	s = l.sums()
 	free := grantable - s.leased - l.unreported
-	e.freeIn = l.freeIn(t, s, free)
+	e.freeIn = l.freeIn(t.perSecond, s, free)
 	// What has not been reported leaves no room for leases beyond what waits.
 	if e.freeIn == 0 && !r.Stopping && l.unreported == 0 {
 		lease += l.spare(free + e.leased - lease)
@@ -337,11 +337,11 @@
 }
 
 // freeIn returns when an average generation may expect room, 0 if there is some and nobody waits.
-func (l *Ledger) freeIn(t *turn, s sums, free int) time.Duration {
+func (l *Ledger) freeIn(perSecond float64, s sums, free int) time.Duration {
 	if s.waiting == 0 && free > 0 && free >= l.averageNeed {
 		return 0
 	}
-	return max(renewSpacing, until(s.waitingNeed+l.averageNeed-free, t.perSecond))
+	return max(renewSpacing, until(s.waitingNeed+l.averageNeed-free, perSecond))
 }
 
 // spare returns what an entry is leased for generations that arrive before its next renewal: an
