--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -8,9 +8,6 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/desired"
-	"arbutusmast.example/arbutusmast/core/quarantine"
-	"arbutusmast.example/arbutusmast/core/serverhealth"
-	"arbutusmast.example/arbutusmast/core/serverlimit"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -61,6 +58,8 @@
 	// MemberAddress is the peer address of the control member that this watcher
 	// serves, empty on other daemons. A control member watches only the leader.
 	MemberAddress string
+	// WantsTight is set on daemons that need to know which services are tight.
+	WantsTight bool
 }
 
 // Watcher keeps a daemon's copy of the desired state and the server list up to date.
@@ -225,7 +224,7 @@
 		LeaderOnly: w.options.LeaderOnly, WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision,
 		AcceptsUnconfirmed: SinceBoot()-w.startedAt > unconfirmedHold,
 		WantsLimits:        true, Limits: v.limitsStamp, WantsParts: w.wantsParts(), Parts: v.partsStamp,
-		WantsStandings: true, Standings: v.standingsStamp}
+		WantsStandings: true, Standings: v.standingsStamp, WantsTight: w.options.WantsTight, Tight: v.TightStamp}
 	if v.Table == nil {
 		request.Version = 0
 	}
@@ -263,7 +262,8 @@
 	if err := w.options.Pool.Call(ctx, v.Leader, ServiceName+".Watch",
 		&WatchRequest{Version: v.Version, List: v.listStamp, Entry: w.options.Entry,
 			WantsEvacuations: w.wantsEvacuations(), Evacuations: v.evacuationRevision, WantsLimits: true, Limits: v.limitsStamp,
-			WantsParts: w.wantsParts(), Parts: v.partsStamp, WantsStandings: true, Standings: v.standingsStamp}, &reply); err != nil {
+			WantsParts: w.wantsParts(), Parts: v.partsStamp, WantsStandings: true, Standings: v.standingsStamp,
+			WantsTight: w.options.WantsTight, Tight: v.TightStamp}, &reply); err != nil {
 		return err
 	}
 	return w.mergeReply(&reply, sent)
@@ -318,28 +318,7 @@
 			changed = true
 		}
 	}
-	if reply.HasLimits {
-		next.Limits, next.limitsStamp = make(map[string]serverlimit.Observation, len(reply.Limits)), reply.LimitsStamp
-		for server, age := range reply.Limits {
-			next.Limits[server] = age.At(sent + reply.Held)
-		}
-		changed = true
-	}
-	if reply.HasParts {
-		next.Parts, next.partsStamp = make([]quarantine.PartStatus, 0, len(reply.Parts)), reply.PartsStamp
-		for _, s := range reply.Parts {
-			next.Parts = append(next.Parts, s.Absolute(sent+reply.Held))
-		}
-		changed = true
-	}
-	if reply.HasStandings {
-		next.Standings, next.standingsStamp = make(Standings, len(reply.Standings)), reply.StandingsStamp
-		for _, s := range reply.Standings {
-			next.Standings[s.Service] = make(map[string]serverhealth.Status, len(s.Servers))
-			for _, status := range s.Servers {
-				next.Standings[s.Service][status.Server] = status
-			}
-		}
+	if next.applyTables(reply, sent+reply.Held) {
 		changed = true
 	}
 	if len(reply.Members) > 0 {
