Count what leaves or is evacuated once in the room of a service

Cause: what runs on leaving engines is part of the leases, and their memory is not part of the total; the headroom for moves kept the same memory a second time. What runs on evacuated and failing engines is part of the leases too and stays there, but its memory was not in the total, so an evacuation made long generations wait for room at other engines although nothing had to move. Change: headroom is the peak of what left, less what leaves now; the total includes what is in use on evacuated and failing engines.

--- a/core/serviceroom/ledger.go
+++ b/core/serviceroom/ledger.go
@@ -174,7 +174,8 @@
 func (l *Ledger) free(now time.Duration) (k kept) {
 	c := l.capacity
 	k.fragmentation = min(c.Engines*l.averageNeed/2, c.Total/maxFragmentParts)
-	k.headroom = min(max(c.Leaving, l.leavings.peak(now), c.Fullest), c.Total/maxHeadroomParts)
+	// What leaves now needs no headroom: it is part of the leases, and its engines are not part of the total.
+	k.headroom = min(max(0, max(l.leavings.peak(now), c.Fullest)-c.Leaving), c.Total/maxHeadroomParts)
 	k.short = l.shorts.peak(now)
 	k.grantable = max(0, c.Total-k.fragmentation-k.headroom-k.short)
 	return k
--- a/fleet/roomcapacity.go
+++ b/fleet/roomcapacity.go
@@ -55,7 +55,9 @@
 		case server.Leaving:
 			capacity.Leaving += load.UsedTokens
 		case evacuated[server.FailureDomain] || failing[id]:
-			// What runs there stays there and gets no more.
+			// What runs there stays there and gets no more. It is part of the leases, so its memory
+			// is part of the total until it ends.
+			capacity.Total += load.UsedTokens
 		default:
 			capacity.Engines++
 			capacity.Total += load.TotalTokens
