Count generations with the memory that they hold on average

Cause: the need was the memory at the end of a generation. Change: the need is the prompt and half of the expected output.

--- a/core/serviceroom/room.go
+++ b/core/serviceroom/room.go
@@ -48,8 +48,8 @@
 	ID     uint64
 	Caller string
 	Digest uint64
-	// Need is the memory in tokens by the time the generation completes: prompt and expected
-	// output, at most the declared maximum.
+	// Need is the memory in tokens that the generation is expected to hold on average over its
+	// life: its prompt and half of its output.
 	Need int
 	// Priority is that of the route; 0 is the most urgent.
 	Priority int
--- a/gateway/roomwait.go
+++ b/gateway/roomwait.go
@@ -34,7 +34,7 @@
 		return dispatch.NoServer, true
 	}
 	s := x.g.rooms.service(x.service)
-	x.room.service, x.room.need = s, x.metadata.PromptTokens+x.expectedTokens
+	x.room.service, x.room.need = s, x.averageNeed()
 	first, whole := x.g.times.usual(x.route, x.metadata.PromptTokens, x.expectedTokens)
 	if !serviceroom.Long(whole) {
 		s.addShort(x.room.need)
@@ -53,6 +53,11 @@
 	return x.awaitRoom(ctx, waiter)
 }
 
+// averageNeed returns the memory in tokens that the generation holds on average over its life: its
+// prompt and half of the expected output. The generations of a service are at different stages, so
+// that is what they need together; the sum of what each needs in the end is never in use.
+func (x *exchange) averageNeed() int { return x.metadata.PromptTokens + x.expectedTokens/2 }
+
 // needsRoom reports whether the request is a generation at an engine whose need is known.
 func (x *exchange) needsRoom() bool {
 	if x.route.Kind != desired.Stream || x.metadata.PromptTokens == 0 {
