--- a/core/serviceroom/failure_test.go
+++ b/core/serviceroom/failure_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// The tests of this file are those of the table of failures in docs/service-load.md, and of
+// The tests of this file are those of the table of failures in docs/design/service-room.md, and of
 // messages that are lost, repeated or reordered. That a leader which is cut off from the quorum
 // grants nothing is tested where the term is confirmed, in fleet.
 
--- a/core/serviceroom/memory.go
+++ b/core/serviceroom/memory.go
@@ -7,7 +7,7 @@
 
 const (
 	// maxRememberedPerCaller and maxRemembered bound the refused requests whose turn is kept. The
-	// first is what about 8 s of a caller with half of the load of docs/service-load.md are.
+	// first is what about 8 s of a caller with half of the load of docs/design/service-room.md are.
 	maxRememberedPerCaller = 256
 	maxRemembered          = 4096
 	// returnWindow is how long after its Retry-After a request is remembered. Retry-After is in
--- a/core/serviceroom/renew.go
+++ b/core/serviceroom/renew.go
@@ -11,7 +11,7 @@
 	// entry: it might not be reported again before its patience ends.
 	lastTurn = renewSpacing + 50*time.Millisecond
 	// maxSpareNeeds bounds what an entry is leased beyond what runs, in average needs. An entry of
-	// docs/service-load.md starts about one long generation a second.
+	// docs/design/service-room.md starts about one long generation a second.
 	maxSpareNeeds = 4
 )
 
--- a/core/serviceroom/room.go
+++ b/core/serviceroom/room.go
@@ -23,7 +23,7 @@
 	// has become free. Three of them may fail before the lease ends.
 	renewInterval = 250 * time.Millisecond
 	// maxWaitingPerCaller bounds the generations of one caller that wait for room, at all entries
-	// together, and maxWaitingAtEntry those at one entry. At 1.7 times the load of docs/service-load.md about
+	// together, and maxWaitingAtEntry those at one entry. At 1.7 times the load of docs/design/service-room.md about
 	// 13 generations a second exceed the capacity, so about 52 wait for up to 4 s. An entry that is
 	// cut off admits all that waits there, so its bound is what a caller with half of the room
 	// could use from one entry in that time.
--- a/core/serviceroom/simulation_test.go
+++ b/core/serviceroom/simulation_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// The load of docs/service-load.md.
+// The load of docs/design/service-room.md.
 const (
 	simEngines    = 44
 	simMemory     = 26947
