Count a large frame of a token link until it is decoded

The memory of a frame above 16 KiB was released before it was decoded, so that many links could hold 1 MiB each beside the budget. With the release in the old place TestFrameCountsUntilItIsDecoded finds 0 bytes counted.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -97,50 +97,67 @@
 // Limit makes the reader count the memory of frames.
 func (r *FrameReader) Limit(budget *netlimit.Budget) { r.budget = budget }
 
-// readBody reads the body of a frame. A large one takes memory as its bytes arrive, and no longer than
-// until it is decoded.
-func (r *FrameReader) readBody(size int) ([]byte, error) {
+// readBody reads the body of a frame. A large one takes memory as its bytes arrive, until release is
+// called when it is decoded.
+func (r *FrameReader) readBody(size int) (body []byte, release func(), err error) {
+	release = func() {}
 	if size <= keptBodyBytes {
 		if cap(r.body) < size {
 			r.body = make([]byte, size)
 		}
 		_, err := io.ReadFull(r.in, r.body[:size])
-		return r.body[:size], err
+		return r.body[:size], release, err
 	}
 	if r.budget != nil {
 		holding := r.budget.Open(r.conn.RemoteAddr(), func() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) })
-		defer holding.Close()
 		parts, err := netlimit.ReadSegments(holding, r.in, int64(size))
 		if err == nil {
 			err = holding.Grow(int64(size))
 		}
+		if err == nil {
+			// It is not refused while it is decoded.
+			err = holding.Complete()
+		}
 		if err != nil {
-			return nil, err
+			holding.Close()
+			return nil, release, err
+		}
+		body, held := slices.Concat(parts...), int64(0)
+		for _, part := range parts {
+			held += int64(cap(part))
 		}
-		return slices.Concat(parts...), nil
+		holding.Shrink(held)
+		return body, holding.Close, nil
 	}
-	var body bytes.Buffer
-	_, err := io.CopyN(&body, r.in, int64(size))
-	return body.Bytes(), err
+	var buffer bytes.Buffer
+	_, err = io.CopyN(&buffer, r.in, int64(size))
+	return buffer.Bytes(), release, err
 }
 
-// Read reads and decodes the next frame.
-func (r *FrameReader) Read() (*message.Frame, error) {
+// next reads the body of the next frame.
+func (r *FrameReader) next() (body []byte, release func(), err error) {
 	if err := r.conn.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
-		return nil, errors.Wrap(err, "set read deadline")
+		return nil, nil, errors.Wrap(err, "set read deadline")
 	}
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r.in, header[:]); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxFrameBytes {
-		return nil, ErrFrameTooLarge
+		return nil, nil, ErrFrameTooLarge
 	}
-	body, err := r.readBody(int(size))
+	body, release, err = r.readBody(int(size))
+	return body, release, errors.Wrap(err, "read frame")
+}
+
+// Read reads and decodes the next frame.
+func (r *FrameReader) Read() (*message.Frame, error) {
+	body, release, err := r.next()
 	if err != nil {
-		return nil, errors.Wrap(err, "read frame")
+		return nil, err
 	}
+	defer release()
 	var f message.Frame
 	if err := cbor.Unmarshal(body, &f); err != nil {
 		return nil, errors.Wrap(err, "decode frame")
