Stop reading calls from a client that reads no replies

Each call or probe that had run kept its goroutine and its reply until it could be written, without a bound: a client that sent 6,000 calls of 4 KiB and read nothing made the server keep 4,879 goroutines, and it could send more for 10 s on each connection. While a reply is being written, no more is read now from a connection with 256 unanswered calls: the same client makes it keep 256. Calls that run for long, such as watches, do not count as long as no write waits. All replies arrive. TestUnreadRepliesStopTheCalls failed before.

--- a/wire/codec.go
+++ b/wire/codec.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -128,11 +129,72 @@
 	refused atomic.Uint64
 	// closing is set when the sending side is closed. The mutex of the server guards it.
 	closing bool
+	replies replyQueue
+}
+
+// maxUnsentReplies is the number of calls and probes in progress on a connection beyond which no more are
+// read while a reply is being written.
+const maxUnsentReplies = 256
+
+// replyQueue stops the reading of calls from a client that does not read its replies: each call that has
+// run keeps its goroutine and its reply. Calls that run for long do not stop it.
+type replyQueue struct {
+	mu sync.Mutex
+	// pending is the number of calls and probes without a reply, and writing is set while a reply is
+	// written, which has a deadline.
+	pending int
+	writing bool
+	// written is closed when the reply was written. It is nil if nobody waits.
+	written chan struct{}
+}
+
+// await waits while a reply is being written and many others are pending.
+func (q *replyQueue) await() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for q.writing && q.pending >= maxUnsentReplies {
+		if q.written == nil {
+			q.written = make(chan struct{})
+		}
+		written := q.written
+		q.mu.Unlock()
+		<-written
+		q.mu.Lock()
+	}
+}
+
+// add records that a call was read.
+func (q *replyQueue) add() {
+	q.mu.Lock()
+	q.pending++
+	q.mu.Unlock()
+}
+
+// begin records that a reply is being written.
+func (q *replyQueue) begin() {
+	q.mu.Lock()
+	q.writing = true
+	q.mu.Unlock()
+}
+
+// end records that a reply was written.
+func (q *replyQueue) end() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending, q.writing = q.pending-1, false
+	if q.written != nil {
+		close(q.written)
+		q.written = nil
+	}
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	c.replies.await()
 	err := c.dec.Decode(r)
+	if err == nil {
+		c.replies.add()
+	}
 	if err != nil || r.ServiceMethod == pingMethod {
 		return err
 	}
@@ -151,6 +213,8 @@
 
 // WriteResponse implements rpc.ServerCodec.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	c.replies.begin()
+	defer c.replies.end()
 	if r.ServiceMethod != pingMethod {
 		defer c.server.activeCalls.Add(-1)
 		defer c.reader.addCalls(-1)
