Report heads of too many lines

The bound of the lines of heads was neither counted nor logged. The reason is head_lines. The tests of SIGHUP share the check of the signal.

--- a/e2e/hostileclients/reload_test.go
+++ b/e2e/hostileclients/reload_test.go
@@ -117,6 +117,22 @@
 	})
 }
 
+// hangUp sends SIGHUP to a process and checks that it ends by it.
+func hangUp(t *testing.T, p *process) {
+	t.Helper()
+	_ = p.cmd.Process.Signal(syscall.SIGHUP)
+	eventually(t, "the process has ended", func() error {
+		if p.isAlive() {
+			return fmt.Errorf("it runs")
+		}
+		return nil
+	})
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	if !ok || !status.Signaled() || status.Signal() != syscall.SIGHUP {
+		t.Errorf("the process ended with %v, want the signal", p.cmd.ProcessState)
+	}
+}
+
 // INI daemons load no settings again: SIGHUP is not handled and ends them without a drain. Guards against a
 // process that hangs instead, with its listeners open, because hostile clients press, against one that exceeds its
 // memory meanwhile, and against a change that makes the signal do something else unnoticed.
@@ -157,17 +173,7 @@
 			if !p.isAlive() {
 				t.Fatalf("%s ended before the signal", p.name)
 			}
-			_ = p.cmd.Process.Signal(syscall.SIGHUP)
-			eventually(t, "the process has ended", func() error {
-				if p.isAlive() {
-					return fmt.Errorf("it runs")
-				}
-				return nil
-			})
-			status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
-			if !ok || !status.Signaled() || status.Signal() != syscall.SIGHUP {
-				t.Errorf("the process ended with %v, want the signal", p.cmd.ProcessState)
-			}
+			hangUp(t, p)
 			seen := sampler.Stop()
 			t.Logf("peak memory %d MiB, %d descriptors", seen.PeakBytes>>20, seen.Descriptors)
 			if seen.PeakBytes > machineMB<<20 {
--- a/netlimit/head.go
+++ b/netlimit/head.go
@@ -17,6 +17,7 @@
 // reading must not be called concurrently, as net/http ensures.
 type headConn struct {
 	net.Conn
+	reporter *Reporter
 	// ended is set behind the empty line at the end of a head.
 	ended bool
 	// lines is the number of lines of the head, and column that of bytes in the last one.
@@ -30,6 +31,7 @@
 func (c *headConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.ended && !c.count(p[:n]) {
+		c.reporter.Refused(ReasonHeadLines, c.RemoteAddr().String())
 		return 0, errTooManyLines
 	}
 	return n, err
@@ -66,10 +68,13 @@
 // Listener returns the listener for a server with limits: one that tries again to accept after an
 // error that passes, and whose connections count the lines of heads.
 func Listener(listener net.Listener, reporter *Reporter) net.Listener {
-	return &headListener{Retry(listener, reporter)}
+	return &headListener{Retry(listener, reporter), reporter}
 }
 
-type headListener struct{ net.Listener }
+type headListener struct {
+	net.Listener
+	reporter *Reporter
+}
 
 // Accept implements net.Listener.
 func (l *headListener) Accept() (net.Conn, error) {
@@ -77,5 +82,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: conn}, nil
+	return &headConn{Conn: conn, reporter: l.reporter}, nil
 }
--- a/netlimit/head_test.go
+++ b/netlimit/head_test.go
@@ -1,6 +1,7 @@
 package netlimit
 
 import (
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +19,8 @@
 	})}
 	limits := testLimits()
 	limits.MaxHeaderBytes, limits.Budget = 64<<10, NewBudget(4<<20)
-	reporter := NewReporter("test", nil, nil)
+	refused := new(expvar.Map).Init()
+	reporter := NewReporter("test", nil, refused)
 	Protect(server, limits, reporter)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,4 +49,7 @@
 	if response, _ := readAnswer(t, hostile); response.StatusCode != http.StatusBadRequest {
 		t.Errorf("a head of too many lines: %s", response.Status)
 	}
+	if count := refused.Get("test " + ReasonHeadLines); count == nil || count.String() != "1" {
+		t.Errorf("refusals: %v", refused)
+	}
 }
--- a/netlimit/report.go
+++ b/netlimit/report.go
@@ -17,6 +17,7 @@
 const (
 	ReasonNoMemory     = "no_memory"
 	ReasonTooLarge     = "too_large"
+	ReasonHeadLines    = "head_lines"
 	ReasonBodyTimeout  = "body_timeout"
 	ReasonBroken       = "broken_body"
 	ReasonFrameTimeout = "frame_timeout"
