Measure what service-wide admission costs a generation

Change: a benchmark of a generation at a service that is not tight, and quantiles of observed times that allocate once.

--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -158,7 +158,8 @@
 	if len(r.durations) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(r.durations))
+	sorted := slices.Clone(r.durations)
+	slices.Sort(sorted)
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -287,3 +288,34 @@
 		return sum(r.Running) == 0 && r.Ended == 2*longNeed
 	})
 }
+
+// BenchmarkTakeRoom measures what a generation costs at a service that is not tight, with and without
+// service-wide admission.
+func BenchmarkTakeRoom(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprint("on ", on), func(b *testing.B) {
+			h := newHarness(b, nil)
+			state := *h.fleet.view.Table.State
+			state.Services = []desired.Service{{Name: "s", Engine: &desired.Engine{MemoryTokens: 30000}}}
+			h.fleet.view.Table = desired.NewTable(&state)
+			g := h.gateway
+			if on {
+				g.options.Rooms = &testRooms{}
+				g.rooms = newRoomBoard(&g.options)
+			}
+			for i := range 100 {
+				g.times.observeGeneration("stream", 3000, 700, time.Duration(400+i*37%100)*time.Millisecond, 7*time.Second)
+			}
+			route := h.fleet.view.Table.Route("h.example", "/stream/x")
+			r := &request{arrived: time.Now()}
+			b.ReportAllocs()
+			for b.Loop() {
+				x := &exchange{g: g, r: r, route: route, service: "s", expectedTokens: 700, metadata: RequestMetadata{PromptTokens: 3000}}
+				if _, ok := x.takeRoom(context.Background()); !ok {
+					b.Fatal("refused")
+				}
+				x.releaseRoom()
+			}
+		})
+	}
+}
