Log and count the framing of streams that end, and last moves

- entry: fields framing and last_event_id of 'stream ended', framing of 'stream broken off by its server', counter gateway_streams_ended_by_framing_total;

No logic is changed.

--- a/evacuate/whereabouts.go
+++ b/evacuate/whereabouts.go
@@ -6,6 +6,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/wire"
+	"go.uber.org/zap"
 )
 
 // WhereaboutsRequest asks to which server a generation was moved.
@@ -29,6 +30,7 @@
 	state := a.moves[request.Run]
 	a.mu.Unlock()
 	if state == nil {
+		a.logLocate(request.Run, "not moved")
 		return nil
 	}
 	timer := time.NewTimer(locateTimeout)
@@ -36,14 +38,26 @@
 	select {
 	case <-state.done:
 	case <-timer.C:
+		a.logLocate(request.Run, "move in progress")
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	reply.Found, reply.Address, reply.Copy = state.copy != "", state.address, state.copy
+	if reply.Found {
+		a.logLocate(request.Run, "moved")
+	} else {
+		a.logLocate(request.Run, "move failed")
+	}
 	return nil
 }
 
+// logLocate logs and counts the reply to a question for a generation.
+func (a *Agent) logLocate(run, reply string) {
+	a.metrics.locateReplies.Add(reply, 1)
+	a.options.Logger.Info("asked where a generation was moved", zap.String("request_id", run), zap.String("reply", reply))
+}
+
 // Locator finds moved generations by asking the agents of the servers that they left.
 // It implements gateway.Locator.
 type Locator struct {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -186,8 +186,9 @@
 		message = "stream ended late"
 		x.g.metrics.streamsLate.Add(1)
 	}
+	x.g.metrics.streamEnds.Add(u.framing(), 1)
 	x.logger.Info(message, zap.String("backend_server", u.server.ID), zap.String("route", x.route.Name),
-		zap.Int("events", events.count), zap.Int("expected_tokens", x.expectedTokens),
+		zap.String("framing", u.framing()), zap.String("last_event_id", events.lastID), zap.Int("events", events.count), zap.Int("expected_tokens", x.expectedTokens),
 		zap.Int("hint_tokens", x.metadata.boundedHint()), zap.Int("resumes", resumes),
 		zap.Duration("first_event_seconds", timing.firstEvent),
 		zap.Duration("longest_pause_seconds", timing.longestPause))
@@ -259,7 +260,7 @@
 }
 
 func (x *exchange) logBroken(ctx context.Context, u *upstream, events *eventReader, err, resumeErr error) {
-	x.logger.Info("stream broken off by its server", zap.String("backend_server", u.server.ID),
+	x.logger.Info("stream broken off by its server", zap.String("backend_server", u.server.ID), zap.String("framing", u.framing()),
 		zap.Int("events", events.count), zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil),
 		zap.Bool("entry_stops", isStopping(ctx)), zap.NamedError("cause", err),
 		zap.Bool("resumed", resumeErr == nil), zap.NamedError("resume_error", resumeErr))
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -66,6 +66,25 @@
 	}
 }
 
+// Framings of a response body.
+const (
+	framingLength = "length"
+	framingChunks = "chunks"
+	// framingClose means that the body ends where the server closes the connection, whatever its reason.
+	framingClose = "close"
+)
+
+// framing returns how the end of the response body is marked.
+func (u *upstream) framing() string {
+	switch {
+	case len(u.response.TransferEncoding) > 0:
+		return framingChunks
+	case u.response.ContentLength >= 0:
+		return framingLength
+	}
+	return framingClose
+}
+
 // close ends the request. The server sees the disconnect and can cancel the work.
 func (u *upstream) close() {
 	if u.stop != nil {
