Complete streams without length or chunks only with evidence of their end

The end of such a stream is now a claim that needs evidence. The agent beside the server knows which orders it gave and sees the server's process live on (core/streamend); the entry asks it at the end of a stream without framing, and only then. 'Ended' completes the answer, 'stopped' and 'unknown' look for a copy as for a broken framed stream, or reset the caller's connection. A last move that was sent is a stop until the run is seen to go on, whatever its answer was. Calls about generations wait up to 2 s for a last move in progress (0.8 s before): callers accept a pause rather than a cut stream.

Ruled out as sufficient: asking whether the generation was moved. The agent says so too after a failed move, a restart and ten seconds, and a crash needs no move.

TestStreamWithoutLength keeps its cases: they have no agent, where nothing is ordered and nobody can be asked.

--- a/evacuate/engine.go
+++ b/evacuate/engine.go
@@ -13,6 +13,9 @@
 // example because it has ended.
 var ErrNotRunning = errors.New("the server runs no such generation")
 
+// ErrRefused is wrapped by errors of moves that the server answered.
+var ErrRefused = errors.New("the server refused the move")
+
 // Status is the state that a backend server reports.
 type Status struct {
 	Leaving     bool
@@ -20,6 +23,8 @@
 	LeavesKnown bool
 	Load        backend.Load
 	Generations []evacuation.Generation
+	// Process is the same number only for statuses that the same process of the server sent.
+	Process uint64
 }
 
 // Copy is a copy of a generation's memory at another server.
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -57,8 +57,9 @@
 	maxRefusals = 12
 	// refusalBackoff is how long a destination is avoided after it refused a copy.
 	refusalBackoff = 300 * time.Millisecond
-	// locateTimeout bounds how long the Whereabouts call waits for a move to end.
-	locateTimeout = 800 * time.Millisecond
+	// locateTimeout bounds how long a call waits for a move to end. Callers accept a longer pause rather
+	// than a stream that is cut.
+	locateTimeout = 2 * time.Second
 	// moveRetention is how long the state of a move is kept. It is longer than the
 	// lifetime of a copy.
 	moveRetention = 10 * time.Second
@@ -110,6 +111,7 @@
 	reportedAt   time.Time
 	reportedCold time.Duration
 	cold         coldState
+	ends         *endWatch
 	// refreshedAt is when the loads of other servers were last refreshed.
 	refreshedAt time.Time
 	moveSlots   chan struct{}
@@ -121,7 +123,7 @@
 func New(options Options, server *wire.Server) (*Agent, error) {
 	a := &Agent{options: options, moves: map[string]*moveState{}, lastSeen: map[string]bool{}, unplaced: map[string]bool{},
 		refusedAt: map[string]time.Time{}, moveSlots: make(chan struct{}, concurrentMoves),
-		evacuations: fleet.NewEvacuationLog(options.Logger), cold: newColdState()}
+		evacuations: fleet.NewEvacuationLog(options.Logger), cold: newColdState(), ends: newEndWatch()}
 	a.metrics = newMetrics(options.Metrics)
 	return a, errors.Wrap(server.Register(ServiceName, &service{a}), "register the evacuation service")
 }
@@ -134,6 +136,7 @@
 	for {
 		a.evacuations.Update(a.options.Fleet.View())
 		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+		requestedAt := fleet.SinceBoot()
 		status, err := a.options.Engine.Status(callCtx)
 		cancel()
 		if (err != nil) != down {
@@ -141,6 +144,7 @@
 			a.options.Logger.Info("backend server reachability changed", zap.Bool("answers", !down), zap.Error(err))
 		}
 		if err == nil {
+			a.watchEnds(requestedAt, status)
 			a.watchCold(ctx, status)
 			a.report(ctx, status)
 			a.refreshLoads(ctx, status)
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -30,6 +30,8 @@
 	refuse map[string]bool
 	copied map[string]int
 	calls  []string
+	// stopErr is the error of last moves.
+	stopErr error
 }
 
 func (e *testEngine) Status(context.Context) (Status, error) {
@@ -55,6 +57,9 @@
 	if refused {
 		return Copy{}, errors.New("no room")
 	}
+	if stop && e.stopErr != nil {
+		return Copy{}, e.stopErr
+	}
 	if first {
 		time.Sleep(2 * maxFinalCopy)
 	}
--- a/evacuate/move.go
+++ b/evacuate/move.go
@@ -27,9 +27,7 @@
 	copiedAt, err := a.preCopy(ctx, &m, end)
 	var c Copy
 	if err == nil {
-		a.metrics.lastMoves.Add(1)
-		a.options.Logger.Info("last move ordered", zap.String("request_id", m.Generation.ID), zap.String("destination", m.Destination))
-		c, err = a.options.Engine.Move(ctx, m.Generation.ID, m.Destination, true)
+		c, err = a.stop(ctx, m.Generation.ID, m.Destination)
 	}
 	if err == nil || c.Name != "" {
 		a.mu.Lock()
--- /dev/null
+++ b/evacuate/streamend.go
@@ -0,0 +1,135 @@
+package evacuate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/streamend"
+	"arbutusmast.example/arbutusmast/fleet"
+	"arbutusmast.example/arbutusmast/gateway"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// endTimeout bounds how long a question for the end of a stream waits for the status that decides it.
+const endTimeout = time.Second
+
+// endWatch is what the agent saw of how generations end.
+type endWatch struct {
+	mu    sync.Mutex
+	watch *streamend.Watch
+	// changed is closed at each change of watch.
+	changed chan struct{}
+}
+
+func newEndWatch() *endWatch {
+	return &endWatch{watch: streamend.New(fleet.SinceBoot()), changed: make(chan struct{})}
+}
+
+// update changes the watch and wakes the questions.
+func (e *endWatch) update(change func(*streamend.Watch)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e.watch)
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// judge returns the present judgment and a channel that is closed at the next change.
+func (e *endWatch) judge(q streamend.Question) (streamend.Judgment, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.watch.Judge(q), e.changed
+}
+
+// watchEnds takes in a status that was requested at a time.
+func (a *Agent) watchEnds(requestedAt time.Duration, s Status) {
+	o := streamend.Observation{RequestedAt: requestedAt, ReceivedAt: fleet.SinceBoot(), Process: s.Process, Leaving: s.Leaving}
+	for _, generation := range s.Generations {
+		o.Runs = append(o.Runs, streamend.Run{ID: generation.ID, Events: generation.Events})
+	}
+	same := false
+	a.ends.update(func(w *streamend.Watch) { same = w.Observe(o) })
+	if !same {
+		a.metrics.processChanges.Add(1)
+		a.options.Logger.Info("backend server may have started again", zap.Int("runs", len(o.Runs)))
+	}
+}
+
+// stop orders the last move of a generation, which stops it.
+func (a *Agent) stop(ctx context.Context, generationID, destination string) (Copy, error) {
+	a.metrics.lastMoves.Add(1)
+	a.options.Logger.Info("last move ordered", zap.String("request_id", generationID), zap.String("destination", destination))
+	a.ends.update(func(w *streamend.Watch) { w.StopOrdered(fleet.SinceBoot(), generationID) })
+	c, err := a.options.Engine.Move(ctx, generationID, destination, true)
+	result := streamend.StopUnanswered
+	switch {
+	case errors.Is(err, ErrNotRunning):
+		result = streamend.StopNotRunning
+	case err == nil || errors.Is(err, ErrRefused):
+		result = streamend.StopAnswered
+	}
+	a.ends.update(func(w *streamend.Watch) { w.StopEnded(fleet.SinceBoot(), generationID, result) })
+	return c, err
+}
+
+// StreamEndRequest asks how a generation ended whose answer ended with its connection.
+type StreamEndRequest struct {
+	Run string
+	// SentAgo is how long ago the request was sent to the server, and Events how many events arrived.
+	SentAgo time.Duration
+	Events  int
+}
+
+// StreamEndReply holds the verdict, its reason, and how long the agent waited for it.
+type StreamEndReply struct {
+	Verdict streamend.Verdict
+	Reason  string
+	Waited  time.Duration
+}
+
+// StreamEnd judges how a generation ended. It waits for a last move in progress up to locateTimeout, and up
+// to endTimeout for the status that decides.
+func (s *service) StreamEnd(request *StreamEndRequest, reply *StreamEndReply) error {
+	a, askedAt := s.agent, fleet.SinceBoot()
+	q := streamend.Question{Run: request.Run, AskedAt: askedAt, SentAt: askedAt - request.SentAgo, Events: request.Events}
+	started := time.Now()
+	for {
+		judgment, changed := a.ends.judge(q)
+		limit := endTimeout
+		if judgment.Verdict == streamend.Stopped {
+			limit = locateTimeout
+		}
+		reply.Verdict, reply.Reason, reply.Waited = judgment.Verdict, judgment.Reason, time.Since(started)
+		if !judgment.Open || reply.Waited >= limit {
+			break
+		}
+		select {
+		case <-changed:
+		case <-time.After(limit - reply.Waited):
+		}
+	}
+	a.metrics.streamEnds.Add(reply.Verdict.String(), 1)
+	a.options.Logger.Info("end of a stream judged", zap.String("request_id", request.Run), zap.Int("events", request.Events),
+		zap.Stringer("verdict", reply.Verdict), zap.String("reason", reply.Reason),
+		zap.Duration("sent_ago_seconds", request.SentAgo), zap.Duration("waited_seconds", reply.Waited))
+	return nil
+}
+
+// StreamEnd implements gateway.Locator.
+func (l *Locator) StreamEnd(ctx context.Context, server backend.Server, end gateway.StreamEnd) (streamend.Verdict, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout+reportTimeout)
+	defer cancel()
+	var reply StreamEndReply
+	started := time.Now()
+	if err := l.Pool.Call(ctx, l.AgentAddress(server.Address), ServiceName+".StreamEnd",
+		&StreamEndRequest{Run: end.ID, SentAgo: end.SentAgo, Events: end.Events}, &reply); err != nil {
+		return streamend.Unknown, "", err
+	}
+	if time.Since(started)-reply.Waited > streamend.SentSlack {
+		return streamend.Unknown, "the question took too long", nil
+	}
+	return reply.Verdict, reply.Reason, nil
+}
--- /dev/null
+++ b/evacuate/streamend_test.go
@@ -0,0 +1,77 @@
+package evacuate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/evacuation"
+	"arbutusmast.example/arbutusmast/core/streamend"
+	"arbutusmast.example/arbutusmast/gateway"
+	"github.com/pkg/errors"
+)
+
+// setStatus replaces the status of the engine.
+func (e *testEngine) setStatus(s Status) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status = s
+}
+
+// Guards against an agent that confirms the end of a generation after it ordered a last move, whatever became
+// of the order, and against one that does not confirm the end of a generation that ended by itself.
+func TestStreamEndAfterLastMove(t *testing.T) {
+	for name, c := range map[string]struct {
+		moved, ended bool
+		err          error
+		want         streamend.Verdict
+	}{
+		"not moved":                         {false, true, nil, streamend.Ended},
+		"moved":                             {true, true, nil, streamend.Stopped},
+		"refused without a copy":            {true, true, ErrRefused, streamend.Stopped},
+		"not answered":                      {true, true, errors.New("connection closed"), streamend.Stopped},
+		"had ended":                         {true, true, ErrNotRunning, streamend.Ended},
+		"not moved, and the run is present": {false, false, nil, streamend.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			running := Status{Generations: []evacuation.Generation{{ID: "r1", Tokens: 3000, Events: 3}}}
+			engine := &testEngine{status: running, copied: map[string]int{}, stopErr: c.err}
+			agent, locator := newAgent(t, engine)
+			awaitRun(t, agent, "r1")
+			time.Sleep(2 * streamend.SentSlack)
+			sent := time.Now()
+			if c.moved {
+				leaving := running
+				leaving.Leaving, leaving.LeavesIn, leaving.LeavesKnown = true, 10*time.Second, true
+				engine.setStatus(leaving)
+				for end := time.Now().Add(10 * time.Second); agent.metrics.moved.Value()+agent.metrics.movesFailed.Value() == 0 && time.Now().Before(end); {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+			if c.ended {
+				engine.setStatus(Status{Leaving: c.moved})
+			}
+			verdict, reason, err := locator.StreamEnd(context.Background(), backend.Server{Address: "self"},
+				gateway.StreamEnd{ID: "r1", SentAgo: time.Since(sent), Events: 3})
+			if err != nil || verdict != c.want {
+				t.Errorf("%v, %q, %v, want %v", verdict, reason, err, c.want)
+			}
+		})
+	}
+}
+
+// awaitRun waits until the agent has seen a generation. The time limit only ends a test that hangs.
+func awaitRun(t *testing.T, a *Agent, id string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		a.mu.Lock()
+		seen := a.lastSeen[id]
+		a.mu.Unlock()
+		if seen {
+			return
+		}
+	}
+	t.Fatalf("the agent never saw %s", id)
+}
--- a/evacuate/whereabouts.go
+++ b/evacuate/whereabouts.go
@@ -58,7 +58,7 @@
 	a.options.Logger.Info("asked where a generation was moved", zap.String("request_id", run), zap.String("reply", reply))
 }
 
-// Locator finds moved generations by asking the agents of the servers that they left.
+// Locator asks the agents of servers what became of generations.
 // It implements gateway.Locator.
 type Locator struct {
 	Pool *wire.Pool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/failuredomain"
 	"arbutusmast.example/arbutusmast/core/serverlimit"
+	"arbutusmast.example/arbutusmast/core/streamend"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
 	"go.uber.org/zap"
@@ -94,11 +95,13 @@
 	ReadResponse(status int, header http.Header) ResponseMetadata
 }
 
-// Locator finds the server at which a generation that was moved can resume.
+// Locator asks the agents of backend servers what became of generations.
 type Locator interface {
 	// Locate returns the address of the server that holds a copy of the
 	// generation's memory, and the name of the copy.
 	Locate(ctx context.Context, server backend.Server, generationID string) (address, name string, err error)
+	// StreamEnd returns how a generation ended whose answer ended with its connection, and why.
+	StreamEnd(ctx context.Context, server backend.Server, end StreamEnd) (verdict streamend.Verdict, reason string, err error)
 }
 
 // Fleet is the daemon's replica of the fleet's state.
@@ -126,7 +129,8 @@
 type Options struct {
 	Fleet   Fleet
 	Dialect Dialect
-	// Locator and Reserver may be nil.
+	// Locator and Reserver may be nil. Without a Locator generations do not resume, and the close of its
+	// connection counts as the end of a stream without framing.
 	Locator  Locator
 	Reserver Reserver
 	// Permits may be nil. Limits that servers name are then not kept.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/failuredomain"
+	"arbutusmast.example/arbutusmast/core/streamend"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
 	"github.com/pkg/errors"
@@ -129,6 +130,11 @@
 }
 
 // newHarness starts a Gateway with routes of each kind to a service with servers.
+// StreamEnd implements Locator. It knows nothing of how streams end.
+func (f locatorFunc) StreamEnd(context.Context, backend.Server, StreamEnd) (streamend.Verdict, string, error) {
+	return streamend.Unknown, "no agent", nil
+}
+
 func newHarness(t testing.TB, locator Locator, servers ...*testServer) *harness {
 	t.Helper()
 	target := []desired.Target{{Service: "s", Weight: 1}}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,8 +10,8 @@
 type metrics struct {
 	requests, rejected, refused, failed, retried, streamsAborted, streamsResumed,
 	callersGone, streamsLate, quarantined, serverCrashes, cutOff, stopDiscarded, stopUnannounced *expvar.Int
-	statuses, crossDomainBytes, unread, streamEnds *observe.Counters
-	firstByte, requestDuration                     *observe.Histogram
+	statuses, crossDomainBytes, unread, streamEnds, streamEndVerdicts *observe.Counters
+	firstByte, requestDuration                                        *observe.Histogram
 }
 
 // maxStatuses bounds the number of status labels of gateway_responses_total.
@@ -27,10 +27,11 @@
 		stopDiscarded:   m.Counter("gateway_stop_discarded_total"),
 		stopUnannounced: m.Counter("gateway_stop_discarded_unannounced_total"),
 		quarantined:     m.Counter("gateway_held_back_total"), serverCrashes: m.Counter("gateway_server_crashes_total"),
-		statuses:         m.Counters("gateway_responses_total", maxStatuses),
-		unread:           m.Counters("gateway_unread_refused_total", maxStatuses),
-		streamEnds:       m.Counters("gateway_streams_ended_by_framing_total", maxStatuses),
-		crossDomainBytes: m.Counters("gateway_cross_domain_bytes_total", maxStatuses),
-		firstByte:        m.Histogram("gateway_first_byte_seconds"), requestDuration: m.Histogram("gateway_request_seconds"),
+		statuses:          m.Counters("gateway_responses_total", maxStatuses),
+		unread:            m.Counters("gateway_unread_refused_total", maxStatuses),
+		streamEnds:        m.Counters("gateway_streams_ended_by_framing_total", maxStatuses),
+		streamEndVerdicts: m.Counters("gateway_stream_end_verdicts_total", maxStatuses),
+		crossDomainBytes:  m.Counters("gateway_cross_domain_bytes_total", maxStatuses),
+		firstByte:         m.Histogram("gateway_first_byte_seconds"), requestDuration: m.Histogram("gateway_request_seconds"),
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,7 +27,8 @@
 	pending []byte
 	// lastID is the id of the last event returned by next.
 	lastID string
-	count  int
+	// count is the number of events, and identified that of those with an id.
+	count, identified int
 }
 
 // next returns the bytes of one or more complete events. At the end of the stream it
@@ -65,11 +66,15 @@
 			continue
 		}
 		e.count++
+		hasID := false
 		for _, line := range strings.Split(event, "\n") {
 			if id, ok := strings.CutPrefix(line, "id:"); ok {
-				e.lastID = strings.TrimSpace(id)
+				e.lastID, hasID = strings.TrimSpace(id), true
 			}
 		}
+		if hasID {
+			e.identified++
+		}
 	}
 }
 
@@ -92,6 +97,11 @@
 	events, timing := &eventReader{in: u.response.Body, buffers: &x.buffers}, eventTiming{lastEvent: x.r.arrived}
 	for resumes := 0; ; resumes++ {
 		sent, err := x.forwardEvents(u, events, &timing)
+		if sent && errors.Is(err, io.EOF) {
+			if unconfirmed := x.confirmEnd(ctx, u, events); unconfirmed != nil {
+				err = unconfirmed
+			}
+		}
 		switch {
 		case !sent:
 			x.reportResult(u.server.ID, placement.Canceled)
@@ -113,7 +123,7 @@
 			next, resumeErr = x.resume(ctx, u.server, events.lastID)
 		}
 		x.logBroken(ctx, u, events, err, resumeErr)
-		if resumeErr != nil && ctx.Err() == nil {
+		if resumeErr != nil && ctx.Err() == nil && !isUnconfirmedEnd(err) {
 			x.reportResult(u.server.ID, placement.Failed)
 			x.observe(u.server, true)
 		} else {
@@ -129,7 +139,8 @@
 		u.close()
 		defer next.close()
 		u = next
-		events = &eventReader{in: u.response.Body, buffers: &x.buffers, lastID: events.lastID, count: events.count}
+		events = &eventReader{in: u.response.Body, buffers: &x.buffers, lastID: events.lastID, count: events.count,
+			identified: events.identified}
 	}
 }
 
--- /dev/null
+++ b/gateway/streamend.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/streamend"
+	"arbutusmast.example/arbutusmast/fleet"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// confirmTimeout bounds the time in which the agent is asked again after a failed call.
+	confirmTimeout = 1500 * time.Millisecond
+	// confirmRetryDelay is the delay after a failed call.
+	confirmRetryDelay = 100 * time.Millisecond
+)
+
+// StreamEnd describes a generation whose answer ended with its connection.
+type StreamEnd struct {
+	ID string
+	// SentAgo is how long ago the request was sent to the server, and Events the number of events of the
+	// generation that arrived, also from earlier servers.
+	SentAgo time.Duration
+	Events  int
+}
+
+// unconfirmedEndError means that the connection of an answer without a length or chunks was closed, and that
+// nothing shows that the answer ended there.
+type unconfirmedEndError struct {
+	verdict streamend.Verdict
+	reason  string
+}
+
+// Error implements error.
+func (e *unconfirmedEndError) Error() string {
+	return "the connection was closed, and the end of the generation is not confirmed: " + e.verdict.String() + ", " + e.reason
+}
+
+// isUnconfirmedEnd reports whether a stream broke without any sign that its server fails.
+func isUnconfirmedEnd(err error) bool {
+	var e *unconfirmedEndError
+	return errors.As(err, &e)
+}
+
+// confirmEnd returns nil if a stream that ended at the end of its response is complete. Where the end of the
+// connection marks the end of the body, the agent beside the server has to confirm it.
+func (x *exchange) confirmEnd(ctx context.Context, u *upstream, events *eventReader) error {
+	if u.framing() != framingClose || !x.g.hasAgent(x.service, u.server) {
+		return nil
+	}
+	verdict, reason := x.askEnd(ctx, u, events)
+	if verdict == streamend.Unknown && x.hasAllTokens(events) {
+		verdict, reason = streamend.Ended, "the declared maximum of tokens arrived"
+	}
+	x.g.metrics.streamEndVerdicts.Add(verdict.String(), 1)
+	x.logger.Info("end of a stream without framing", zap.String("backend_server", u.server.ID), zap.Int("events", events.count),
+		zap.Stringer("verdict", verdict), zap.String("reason", reason))
+	if verdict == streamend.Ended {
+		return nil
+	}
+	return &unconfirmedEndError{verdict, reason}
+}
+
+// askEnd asks the agent how the generation ended, again if the call fails.
+func (x *exchange) askEnd(ctx context.Context, u *upstream, events *eventReader) (streamend.Verdict, string) {
+	end := time.Now().Add(confirmTimeout)
+	for {
+		verdict, reason, err := x.g.options.Locator.StreamEnd(ctx, u.server, StreamEnd{ID: x.metadata.ID,
+			SentAgo: fleet.SinceBoot() - u.sentAt, Events: events.count})
+		if err == nil {
+			return verdict, reason
+		}
+		if ctx.Err() != nil || time.Now().After(end) {
+			return streamend.Unknown, err.Error()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(confirmRetryDelay):
+		}
+	}
+}
+
+// hasAllTokens reports whether as many tokens arrived as the request allows.
+func (x *exchange) hasAllTokens(events *eventReader) bool {
+	return x.metadata.MaxTokens > 0 && events.identified*x.eventTokens() >= x.metadata.MaxTokens
+}
+
+// hasAgent reports whether an agent runs beside a server, as beside all engines.
+func (g *Gateway) hasAgent(service string, server backend.Server) bool {
+	if g.options.Locator == nil {
+		return false
+	}
+	view := g.options.Fleet.View()
+	if _, reported := view.Reports[server.Address]; reported {
+		return true
+	}
+	if view.Table == nil {
+		return false
+	}
+	declared := view.Table.Service(service)
+	return declared != nil && declared.Engine != nil
+}
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -179,6 +179,16 @@
 	}
 }
 
+// unframed responds without a length or chunks and closes the connection in order.
+func unframed(w http.ResponseWriter, r *http.Request, body string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nT-Id: "+r.Header.Get("T-Id")+"\r\nT-Seal: s\r\n\r\n"+body)
+	_ = conn.Close()
+}
+
 // Guards against a stream without length or chunks that broke off inside an event and
 // looks complete, and against one that ended and looks broken off.
 func TestStreamWithoutLength(t *testing.T) {
@@ -193,12 +203,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
-				conn, _, err := w.(http.Hijacker).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nT-Id: "+r.Header.Get("T-Id")+"\r\nT-Seal: s\r\n\r\n"+c.sent)
-				_ = conn.Close()
+				unframed(w, r, c.sent)
 			})
 			status, _, body, err := newHarness(t, nil, server).call("/stream/x")
 			if status != http.StatusOK || (err == nil) != c.whole || c.whole && body != c.sent {
