--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -313,6 +313,7 @@
 	}
 	x.g.metrics.firstByte.Record(time.Since(x.r.arrived))
 	header := endToEnd(u.response.Header)
+	x.w.untilClose = u.framing() == framingClose
 	if err := x.w.writeResponse(u.response.StatusCode, header, body...); err != nil {
 		x.logger.Info("the caller did not take the answer", zap.Error(err))
 	}
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -20,6 +20,9 @@
 	noBody bool
 	// http10 is set for callers that do not support chunked encoding.
 	http10 bool
+	// untilClose is set for a body whose end is that of the connection, because nothing else shows where it
+	// ends.
+	untilClose bool
 	// stopping reports whether the connection closes because the entry stops. It is asked when
 	// the head is written, so that the answer to a request that was in progress at the signal
 	// announces the close too.
@@ -49,7 +52,7 @@
 	case hasNoContent:
 	case contentLength >= 0:
 		header.Set("Content-Length", strconv.FormatInt(contentLength, 10))
-	case w.http10:
+	case w.http10 || w.untilClose:
 		w.closeAfter = true
 	default:
 		w.chunked = true
@@ -92,12 +95,16 @@
 	return err
 }
 
-// writeResponse writes a complete response, whose body is in parts.
+// writeResponse writes a complete response, whose body is in parts. It states the length unless the end of
+// the body is that of the connection.
 func (w *responseWriter) writeResponse(status int, header http.Header, body ...[]byte) error {
 	length := 0
 	for _, part := range body {
 		length += len(part)
 	}
+	if w.untilClose {
+		length = -1
+	}
 	w.writeHead(status, header, int64(length))
 	for _, part := range body {
 		if !w.noBody {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -79,7 +79,7 @@
 	switch {
 	case len(u.response.TransferEncoding) > 0:
 		return framingChunks
-	case u.response.ContentLength >= 0:
+	case u.response.ContentLength >= 0 || u.response.Body == http.NoBody:
 		return framingLength
 	}
 	return framingClose
