Reset connections of bodies until close if their entry is killed

Answers to HTTP/1.0 callers, and plain answers without a length, end with their connection. The connection now lingers for no time from the head of such an answer to its end, so the kernel resets it; a finished answer is closed in order as before.

TestBodyUntilCloseIsResetIfItsEntryEnds failed before: 'killed' read no error.

--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -31,10 +31,12 @@
 	closeAfter bool
 	// closeAnnounced is set if the head of the response says that the connection closes.
 	closeAnnounced bool
-	started        bool
-	chunked        bool
-	ended          bool
-	status         int
+	// resets is set while the connection is reset when it is closed.
+	resets  bool
+	started bool
+	chunked bool
+	ended   bool
+	status  int
 }
 
 // extendDeadline gives the next write the full writeTimeout.
@@ -54,6 +56,7 @@
 		header.Set("Content-Length", strconv.FormatInt(contentLength, 10))
 	case w.http10 || w.untilClose:
 		w.closeAfter = true
+		w.resetOnClose(true)
 	default:
 		w.chunked = true
 		header.Set("Transfer-Encoding", "chunked")
@@ -92,9 +95,27 @@
 	w.ended = true
 	err := w.out.Flush()
 	w.closeAfter = w.closeAfter || err != nil
+	if w.resets && err == nil {
+		w.resetOnClose(false)
+	}
 	return err
 }
 
+// resetOnClose sets whether the connection is reset when it is closed, also by the kernel after the process
+// was killed. A body that ends with its connection would otherwise look complete.
+func (w *responseWriter) resetOnClose(reset bool) {
+	tcp, ok := w.conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	w.resets = reset
+	_ = tcp.SetLinger(seconds)
+}
+
 // writeResponse writes a complete response, whose body is in parts. It states the length unless the end of
 // the body is that of the connection.
 func (w *responseWriter) writeResponse(status int, header http.Header, body ...[]byte) error {
@@ -118,8 +139,6 @@
 // tell that the response is incomplete.
 func (w *responseWriter) abort() {
 	w.closeAfter = true
-	if tcp, ok := w.conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	w.resetOnClose(true)
 	_ = w.conn.Close()
 }
--- a/gateway/untilclose_test.go
+++ b/gateway/untilclose_test.go
@@ -51,3 +51,41 @@
 		}
 	}
 }
+
+// Guards against a stream to an HTTP/1.0 caller that looks complete because its entry was killed: the kernel
+// then closes the connection.
+func TestBodyUntilCloseIsResetIfItsEntryEnds(t *testing.T) {
+	for name, finished := range map[string]bool{"killed": false, "finished": true} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			connected := make(chan struct{})
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				<-connected
+				w := &responseWriter{conn: conn, out: bufio.NewWriter(conn), http10: true, stopping: func() bool { return false }}
+				w.writeHead(http.StatusOK, http.Header{}, -1)
+				_ = w.writeBody([]byte(events(1, 3)))
+				if finished {
+					_ = w.finish()
+				}
+				_ = conn.Close()
+			}()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			close(connected)
+			if _, err := io.ReadAll(conn); (err == nil) != finished {
+				t.Errorf("read %v", err)
+			}
+		})
+	}
+}
