Move a generation again that resumed at its leaving server

A last move that fails with a copy lets the generation resume at the server that leaves. The agent kept the state of the first move for ten seconds and never moved the generation again, so it was cut when the server ended; asked again, it named the copy that was already used. The state is dropped once a status shows that the generation made events since the stop.

TestGenerationThatResumesHereIsMovedAgain failed before: still at the leaving server after 5 s.

--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -92,8 +92,14 @@
 	address, copy string
 	done          chan struct{}
 	started       time.Time
+	// events is the number of events that the generation had made when it was stopped.
+	events int
 }
 
+// resumedHere reports whether a generation that was stopped for the move has made events since. A status may
+// list it for a while although it was stopped.
+func (s *moveState) resumedHere(g evacuation.Generation) bool { return s.copy != "" && g.Events > s.events }
+
 // Agent reports and evacuates one backend server.
 type Agent struct {
 	options Options
@@ -225,6 +231,9 @@
 	present := map[string]bool{}
 	for _, generation := range s.Generations {
 		present[generation.ID] = true
+		if state := a.moves[generation.ID]; state != nil && state.resumedHere(generation) {
+			delete(a.moves, generation.ID)
+		}
 		if a.moves[generation.ID] == nil && a.lastSeen[generation.ID] {
 			candidates = append(candidates, generation)
 		}
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -30,8 +30,9 @@
 	refuse map[string]bool
 	copied map[string]int
 	calls  []string
-	// stopErr is the error of last moves.
-	stopErr error
+	// stopErr is the error of last moves. With keepCopy, the server keeps a copy nevertheless.
+	stopErr  error
+	keepCopy bool
 }
 
 func (e *testEngine) Status(context.Context) (Status, error) {
@@ -49,7 +50,13 @@
 		call = "stop "
 	}
 	e.calls = append(e.calls, call+generationID+" to "+target)
-	refused := e.refuse[target]
+	refused, stopErr, name := e.refuse[target], error(nil), ""
+	if stop {
+		stopErr = e.stopErr
+	}
+	if e.keepCopy {
+		name = "here/" + generationID
+	}
 	e.mu.Unlock()
 	if e.onMove != nil {
 		e.onMove(target, stop)
@@ -57,8 +64,8 @@
 	if refused {
 		return Copy{}, errors.New("no room")
 	}
-	if stop && e.stopErr != nil {
-		return Copy{}, e.stopErr
+	if stopErr != nil {
+		return Copy{Name: name, Events: 9}, stopErr
 	}
 	if first {
 		time.Sleep(2 * maxFinalCopy)
--- a/evacuate/move.go
+++ b/evacuate/move.go
@@ -31,7 +31,7 @@
 	}
 	if err == nil || c.Name != "" {
 		a.mu.Lock()
-		state.address, state.copy = m.Destination, c.Name
+		state.address, state.copy, state.events = m.Destination, c.Name, c.Events
 		if err != nil {
 			// The final copy failed. The source keeps the memory of the generation that
 			// it stopped.
--- a/evacuate/streamend_test.go
+++ b/evacuate/streamend_test.go
@@ -75,3 +75,24 @@
 	}
 	t.Fatalf("the agent never saw %s", id)
 }
+
+// Guards against a generation that is moved once only: after a last move that failed, it resumes at the server
+// that is leaving, and has to move again before that ends.
+func TestGenerationThatResumesHereIsMovedAgain(t *testing.T) {
+	engine := &testEngine{status: leavingStatus(), copied: map[string]int{}, stopErr: ErrRefused, keepCopy: true}
+	_, locator := newAgent(t, engine)
+	if got := waitForMove(t, locator, "r1"); got != "self here/r1" {
+		t.Fatalf("moved to %q", got)
+	}
+	engine.mu.Lock()
+	engine.stopErr = nil
+	engine.status.Generations = []evacuation.Generation{{ID: "r1", Tokens: 3000, Events: 10}}
+	engine.mu.Unlock()
+	got := ""
+	for end := time.Now().Add(5 * time.Second); got != "near here/r1" && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		got = waitForMove(t, locator, "r1")
+	}
+	if got != "near here/r1" {
+		t.Errorf("the generation that resumed is at %q", got)
+	}
+}
