--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -92,13 +92,15 @@
 	address, copy string
 	done          chan struct{}
 	started       time.Time
-	// events is the number of events that the generation had made when it was stopped.
+	// events is the number of events that the generation had made when it was stopped, 0 if unknown.
 	events int
 }
 
 // resumedHere reports whether a generation that was stopped for the move has made events since. A status may
 // list it for a while although it was stopped.
-func (s *moveState) resumedHere(g evacuation.Generation) bool { return s.copy != "" && g.Events > s.events }
+func (s *moveState) resumedHere(g evacuation.Generation) bool {
+	return s.copy != "" && s.events > 0 && g.Events > s.events
+}
 
 // Agent reports and evacuates one backend server.
 type Agent struct {
