Keep statuses outside of HTTP from callers

The gateway took everything from 500 up for the server's own error and passed 600 and 999 on to callers. A status that is no final one of HTTP is no sound answer now: 502, or the refusal where the server says that it did not run the request. 000 to 099 and 101 were handled so before.

TestStatusOutsideOfHTTP failed before for 600 and 999 on plain and streaming routes.

--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -14,6 +14,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/dispatch"
+	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
@@ -225,7 +226,7 @@
 		return dispatch.Lost, errors.Errorf("the response is for request %q", u.metadata.ID)
 	case u.metadata.NotRun:
 		return dispatch.Refused, nil
-	case status < http.StatusOK || u.metadata.Encoded:
+	case !httpstatus.IsFinal(status) || u.metadata.Encoded:
 		return dispatch.Lost, errors.Errorf("response with status %d is not the original response of the server", status)
 	case status < http.StatusMultipleChoices && !u.metadata.Sealed:
 		return dispatch.Lost, errors.Errorf("response with status %d has no seal", status)
