--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/core/message"
 	"github.com/pkg/errors"
 )
@@ -251,17 +252,26 @@
 	if err != nil {
 		return errors.Wrap(ErrConnectionLost, err.Error())
 	}
-	switch {
-	case resp.StatusCode == http.StatusConflict:
-		return errors.Wrap(ErrFenced, strings.TrimSpace(string(data)))
-	case resp.StatusCode >= http.StatusBadRequest:
-		return errors.Wrapf(ErrRefused, "status %d: %s", resp.StatusCode, strings.TrimSpace(string(data)))
-	case out == nil:
-		return nil
+	if err := controlError(resp.StatusCode, data); err != nil || out == nil {
+		return err
 	}
 	return errors.Wrap(json.Unmarshal(data, out), "decode reply")
 }
 
+// controlError returns the error for the response to a control request, nil if that succeeded.
+func controlError(status int, body []byte) error {
+	text := strings.TrimSpace(string(body))
+	switch {
+	case status == http.StatusConflict:
+		return errors.Wrap(ErrFenced, text)
+	case httpstatus.IsError(status):
+		return errors.Wrapf(ErrRefused, "status %d: %s", status, text)
+	case !httpstatus.IsSuccess(status):
+		return errors.Wrapf(ErrFailed, "status %d: %s", status, text)
+	}
+	return nil
+}
+
 // Cancel stops a generation.
 func (c *Client) Cancel(ctx context.Context, id string) error {
 	return c.do(ctx, http.MethodDelete, "/v1/requests/"+id, nil, nil, nil)
@@ -317,5 +327,8 @@
 	if len(body) > maxForwardBodyBytes {
 		return Response{}, errors.Wrap(ErrConnectionLost, "answer is larger than the limit")
 	}
+	if !httpstatus.IsFinal(resp.StatusCode) {
+		return Response{}, errors.Wrapf(ErrFailed, "response with status %q, which is none of HTTP", resp.Status)
+	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
--- a/engine/order.go
+++ b/engine/order.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -57,13 +56,7 @@
 	}
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
-	switch {
-	case resp.StatusCode == http.StatusConflict:
-		return errors.Wrap(ErrFenced, strings.TrimSpace(string(text)))
-	case resp.StatusCode >= http.StatusBadRequest:
-		return errors.Wrapf(ErrRefused, "status %d: %s", resp.StatusCode, strings.TrimSpace(string(text)))
-	}
-	return nil
+	return controlError(resp.StatusCode, text)
 }
 
 // guardedConn is a connection that calls the guard before each write.
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/verdict"
 	"go.uber.org/zap"
@@ -79,7 +80,7 @@
 
 // recordedReply returns the recorded response of a call that has already run.
 func recordedReply(r message.RecordedResponse) (*message.ForwardReply, *verdict.Error) {
-	if r.Truncated || r.Status == 0 {
+	if r.Truncated || !httpstatus.IsFinal(r.Status) {
 		return nil, verdict.New(verdict.Ran, verdict.ReasonKeyUnknownEnd, "the call has run, and its answer is not kept")
 	}
 	return &message.ForwardReply{Verdict: verdict.Ran, Status: r.Status, HTTPHeader: r.HTTPHeader, Body: r.Body}, nil
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -10,6 +10,7 @@
 
 	"arbutusmast.example/arbutusmast/core/attempt"
 	"arbutusmast.example/arbutusmast/core/contract"
+	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/placement"
 	"arbutusmast.example/arbutusmast/core/quarantine"
@@ -198,6 +199,9 @@
 	if reply.Verdict != verdict.Ran {
 		return nil, reply.Refusal.Err()
 	}
+	if !httpstatus.IsFinal(reply.Status) {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "the service answered with status %d", reply.Status)
+	}
 	return &reply, nil
 }
 
