Wait for the answer to a last move beyond the announced end of the server

The call was cancelled at the announced end of the server. The generation had been stopped by then, so its copy was lost and the stream cut, although servers often exit later than announced. The call may now take as long as an entry waits for the move.

TestLateAnswerToLastMoveIsTaken failed before: 'never moved'.

--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -41,7 +41,7 @@
 	return e.status, nil
 }
 
-func (e *testEngine) Move(_ context.Context, generationID, target string, stop bool) (Copy, error) {
+func (e *testEngine) Move(ctx context.Context, generationID, target string, stop bool) (Copy, error) {
 	e.mu.Lock()
 	e.copied[generationID]++
 	first := e.copied[generationID] == 1
@@ -61,6 +61,9 @@
 	if e.onMove != nil {
 		e.onMove(target, stop)
 	}
+	if err := ctx.Err(); err != nil {
+		return Copy{}, err
+	}
 	if refused {
 		return Copy{}, errors.New("no room")
 	}
--- a/evacuate/move.go
+++ b/evacuate/move.go
@@ -15,6 +15,7 @@
 // the caller sees a pause of only milliseconds.
 func (a *Agent) move(ctx context.Context, m evacuation.Move, state *moveState, end time.Time) {
 	defer close(state.done)
+	agentCtx := ctx
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	select {
@@ -27,7 +28,11 @@
 	copiedAt, err := a.preCopy(ctx, &m, end)
 	var c Copy
 	if err == nil {
-		c, err = a.stop(ctx, m.Generation.ID, m.Destination)
+		// The generation stops in any case. Its copy may arrive after the planned exit of the server, and a
+		// server may exit later.
+		stopCtx, cancelStop := context.WithDeadline(agentCtx, end.Add(locateTimeout))
+		defer cancelStop()
+		c, err = a.stop(stopCtx, m.Generation.ID, m.Destination)
 	}
 	if err == nil || c.Name != "" {
 		a.mu.Lock()
--- a/evacuate/streamend_test.go
+++ b/evacuate/streamend_test.go
@@ -96,3 +96,21 @@
 		t.Errorf("the generation that resumed is at %q", got)
 	}
 }
+
+// Guards against a copy that is lost because the answer to the last move arrives after the announced end of the
+// server, which often exits later.
+func TestLateAnswerToLastMoveIsTaken(t *testing.T) {
+	const notice = 500 * time.Millisecond
+	status := leavingStatus()
+	status.LeavesIn = notice
+	engine := &testEngine{status: status, copied: map[string]int{}}
+	engine.onMove = func(_ string, stop bool) {
+		if stop {
+			time.Sleep(2 * notice)
+		}
+	}
+	_, locator := newAgent(t, engine)
+	if got := waitForMove(t, locator, "r1"); got != "near here/r1" {
+		t.Errorf("moved to %q", got)
+	}
+}
