Confirm the end of a stream when the rest of its server ends

A server that asked for rest gets no calls of its agent, so nothing showed that it lives, and streams without length or chunks that ended then were cut after 1 s. The agent waits up to 4 s for the end of the rest: all events have reached the caller. A server that can not be reached is not waited for longer.

TestStreamEndWaitsForTheEndOfARest failed before (by reading: the limit was 1 s). Formats core/httpstatus.

--- a/core/httpstatus/httpstatus.go
+++ b/core/httpstatus/httpstatus.go
@@ -12,7 +12,9 @@
 func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxFinal }
 
 // IsSuccess reports whether a status code means that the request succeeded.
-func IsSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+func IsSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
 
 // IsError reports whether a status code means that the request failed.
 func IsError(status int) bool { return status >= http.StatusBadRequest && status <= maxFinal }
--- a/evacuate/engine.go
+++ b/evacuate/engine.go
@@ -16,6 +16,9 @@
 // ErrRefused is wrapped by errors of moves that the server answered.
 var ErrRefused = errors.New("the server refused the move")
 
+// ErrResting is wrapped by errors of calls that were not made because the server asked for rest.
+var ErrResting = errors.New("the server asked for rest")
+
 // Status is the state that a backend server reports.
 type Status struct {
 	Leaving     bool
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -147,6 +147,7 @@
 		requestedAt := fleet.SinceBoot()
 		status, err := a.options.Engine.Status(callCtx)
 		cancel()
+		a.ends.resting.Store(errors.Is(err, ErrResting))
 		if (err != nil) != down {
 			down = err != nil
 			a.options.Logger.Info("backend server reachability changed", zap.Bool("answers", !down), zap.Error(err))
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -27,6 +27,8 @@
 	// onMove is called at each move before it takes effect. It may be nil.
 	onMove func(target string, stop bool)
 	status Status
+	// statusErr is the error of statuses.
+	statusErr error
 	refuse map[string]bool
 	copied map[string]int
 	calls  []string
@@ -38,7 +40,7 @@
 func (e *testEngine) Status(context.Context) (Status, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.status, nil
+	return e.status, e.statusErr
 }
 
 func (e *testEngine) Move(ctx context.Context, generationID, target string, stop bool) (Copy, error) {
--- a/evacuate/streamend.go
+++ b/evacuate/streamend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
@@ -13,8 +14,12 @@
 	"go.uber.org/zap"
 )
 
-// endTimeout bounds how long a question for the end of a stream waits for the status that decides it.
-const endTimeout = time.Second
+const (
+	// endTimeout bounds how long a question for the end of a stream waits for the status that decides it, and
+	// restTimeout how long while the server rests, when it gives none. All events have reached the caller.
+	endTimeout  = time.Second
+	restTimeout = 4 * time.Second
+)
 
 // endWatch is what the agent saw of how generations end.
 type endWatch struct {
@@ -22,6 +27,8 @@
 	watch *streamend.Watch
 	// changed is closed at each change of watch.
 	changed chan struct{}
+	// resting is set while the server wants no calls.
+	resting atomic.Bool
 }
 
 func newEndWatch() *endWatch {
@@ -91,7 +98,7 @@
 }
 
 // StreamEnd judges how a generation ended. It waits for a last move in progress up to locateTimeout, and up
-// to endTimeout for the status that decides.
+// to endTimeout, or restTimeout, for the status that decides.
 func (s *service) StreamEnd(request *StreamEndRequest, reply *StreamEndReply) error {
 	a, askedAt := s.agent, fleet.SinceBoot()
 	q := streamend.Question{Run: request.Run, AskedAt: askedAt, SentAt: askedAt - request.SentAgo, Events: request.Events}
@@ -99,8 +106,11 @@
 	for {
 		judgment, changed := a.ends.judge(q)
 		limit := endTimeout
-		if judgment.Verdict == streamend.Stopped {
+		switch {
+		case judgment.Verdict == streamend.Stopped:
 			limit = locateTimeout
+		case a.ends.resting.Load():
+			limit = restTimeout
 		}
 		reply.Verdict, reply.Reason, reply.Waited = judgment.Verdict, judgment.Reason, time.Since(started)
 		if !judgment.Open || reply.Waited >= limit {
@@ -108,7 +118,8 @@
 		}
 		select {
 		case <-changed:
-		case <-time.After(limit - reply.Waited):
+		case <-time.After(min(limit-reply.Waited, endTimeout/2)):
+			// The server may rest by now.
 		}
 	}
 	a.metrics.streamEnds.Add(reply.Verdict.String(), 1)
@@ -120,7 +131,7 @@
 
 // StreamEnd implements gateway.Locator.
 func (l *Locator) StreamEnd(ctx context.Context, server backend.Server, end gateway.StreamEnd) (streamend.Verdict, string, error) {
-	ctx, cancel := context.WithTimeout(ctx, locateTimeout+reportTimeout)
+	ctx, cancel := context.WithTimeout(ctx, restTimeout+reportTimeout)
 	defer cancel()
 	var reply StreamEndReply
 	started := time.Now()
--- a/evacuate/streamend_test.go
+++ b/evacuate/streamend_test.go
@@ -114,3 +114,34 @@
 		t.Errorf("moved to %q", got)
 	}
 }
+
+// Guards against complete streams that are cut while their server wants no calls, not even of its agent.
+func TestStreamEndWaitsForTheEndOfARest(t *testing.T) {
+	running := Status{Generations: []evacuation.Generation{{ID: "r1", Tokens: 3000, Events: 3}}}
+	engine := &testEngine{status: running, copied: map[string]int{}}
+	agent, locator := newAgent(t, engine)
+	awaitRun(t, agent, "r1")
+	time.Sleep(2 * streamend.SentSlack)
+	sent := time.Now()
+	setError := func(err error) {
+		engine.mu.Lock()
+		defer engine.mu.Unlock()
+		engine.status, engine.statusErr = Status{}, err
+	}
+	setError(errors.Wrap(ErrResting, "test"))
+	time.Sleep(2 * statusInterval)
+	time.AfterFunc(3*endTimeout/2, func() { setError(nil) })
+	verdict, reason, err := locator.StreamEnd(context.Background(), backend.Server{Address: "self"},
+		gateway.StreamEnd{ID: "r1", SentAgo: time.Since(sent), Events: 3})
+	if err != nil || verdict != streamend.Ended {
+		t.Errorf("%v, %q, %v", verdict, reason, err)
+	}
+	setError(errors.New("connection refused"))
+	time.Sleep(2 * statusInterval)
+	asked := time.Now()
+	verdict, _, err = locator.StreamEnd(context.Background(), backend.Server{Address: "self"},
+		gateway.StreamEnd{ID: "r1", SentAgo: time.Since(sent), Events: 3})
+	if took := time.Since(asked); err != nil || verdict != streamend.Unknown || took > restTimeout/2 {
+		t.Errorf("a server that can not be reached: %v, %v, after %v", verdict, err, took)
+	}
+}
