Give plain answers on the INI path no length of the entry's own

The reply and the record now say that the answer has no framing, and the entry passes it on until the close. Records without the mark, of earlier versions too, are repeated as before.

Generations on the INI path need no change: an agent takes a stream for complete after a finish_reason only, and the entry when the count of tokens agrees (agent/generate.go, entry/answer.go).

--- a/agent/service.go
+++ b/agent/service.go
@@ -149,7 +149,7 @@
 	response, err := b.engine.Forward(ctx, request)
 	if err == nil {
 		reply.Verdict, reply.Status = verdict.Ran, response.Status
-		reply.HTTPHeader, reply.Body = response.Header, response.Body
+		reply.HTTPHeader, reply.Body, reply.Unframed = response.Header, response.Body, response.Unframed
 		if f.suspect {
 			b.agent.clearSuspect(b.name, f.digest)
 		}
--- a/core/message/control.go
+++ b/core/message/control.go
@@ -188,6 +188,8 @@
 	HTTPHeader map[string][]string
 	Body       []byte
 	Truncated  bool
+	// Unframed is set if the end of the body is that of its connection.
+	Unframed bool `cbor:",omitempty"`
 }
 
 // FinishCallRequest records the end of a call in the ledger. If Verdict is
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -213,7 +213,9 @@
 	Status     int
 	HTTPHeader map[string][]string
 	Body       []byte
-	Load       LoadHint
+	// Unframed is set if the end of the body is that of its connection.
+	Unframed bool
+	Load     LoadHint
 }
 
 // LoadRequest requests load hints from an agent. An empty list requests those of
--- a/engine/client.go
+++ b/engine/client.go
@@ -330,5 +330,6 @@
 	if !httpstatus.IsFinal(resp.StatusCode) {
 		return Response{}, errors.Wrapf(ErrFailed, "response with status %q, which is none of HTTP", resp.Status)
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: unframed}, nil
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -107,6 +107,8 @@
 	Status int
 	Header map[string][]string
 	Body   []byte
+	// Unframed is set if the end of the body is that of its connection, so that it may be cut.
+	Unframed bool
 }
 
 // Backend is a client of one backend server.
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -83,7 +83,8 @@
 	if r.Truncated || !httpstatus.IsFinal(r.Status) {
 		return nil, verdict.New(verdict.Ran, verdict.ReasonKeyUnknownEnd, "the call has run, and its answer is not kept")
 	}
-	return &message.ForwardReply{Verdict: verdict.Ran, Status: r.Status, HTTPHeader: r.HTTPHeader, Body: r.Body}, nil
+	return &message.ForwardReply{Verdict: verdict.Ran, Status: r.Status, HTTPHeader: r.HTTPHeader, Body: r.Body,
+		Unframed: r.Unframed}, nil
 }
 
 // recordBegin records the start of the call in the ledger and retries lost
@@ -135,7 +136,8 @@
 	if failure != nil {
 		request.Verdict = failure.Verdict
 	} else {
-		request.Response = message.RecordedResponse{Status: reply.Status, HTTPHeader: reply.HTTPHeader, Body: reply.Body}
+		request.Response = message.RecordedResponse{Status: reply.Status, HTTPHeader: reply.HTTPHeader, Body: reply.Body,
+			Unframed: reply.Unframed}
 	}
 	c.entry.finishCallWithRetry(ctx, request)
 }
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -213,6 +213,10 @@
 	}
 	w.Header().Set(RequestIDHeader, string(id))
 	w.Header().Set(VerdictHeader, verdict.Ran.String())
+	if reply.Unframed {
+		// The body gets no length either, because nothing tells whether it is whole.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	setWriteDeadline(w)
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
