Confirm ends of streams over slow links to agents

A question that was under way for over 250 ms was answered with 'unknown', so complete streams were cut where the link to the agent is slow. The agent now allows for a time that the entry names, and the entry asks again with a longer one, up to 2 s.

TestSlowQuestionsForTheEndOfAStream: with a delay of 250 ms 'unknown' before (by reading of the bound), ended now; with 2 s unknown. Formats a test.

--- a/core/streamend/streamend.go
+++ b/core/streamend/streamend.go
@@ -29,9 +29,6 @@
 }
 
 const (
-	// SentSlack is how much later than in truth a question may say that the request was sent, because the
-	// time of a call is unknown. Whoever asks discards the verdict of a call that took longer.
-	SentSlack = 250 * time.Millisecond
 	// settleTime is how long after the question the server has to live. A process that ends closes all its
 	// connections at nearly the same time.
 	settleTime = 100 * time.Millisecond
@@ -64,9 +61,11 @@
 // Question asks how a generation ended.
 type Question struct {
 	Run string
-	// AskedAt is when the question arrived, after the end of the answer, and SentAt when the request was
-	// sent to the server, at most SentSlack too late.
-	AskedAt, SentAt time.Duration
+	// AskedAt is when the question arrived, after the end of the answer.
+	AskedAt time.Duration
+	// SentAt is when the request was sent to the server, or up to SentSlack later, because the question was
+	// under way for a time that the agent does not know.
+	SentAt, SentSlack time.Duration
 	// Events is the number of events that arrived.
 	Events int
 }
@@ -233,7 +232,7 @@
 // Judge judges how a generation ended. It is certain that the generation ended by itself if one process of
 // the server ran it from its begin, lives on without it, and got no order to stop it.
 func (w *Watch) Judge(q Question) Judgment {
-	sentAt := q.SentAt - SentSlack
+	sentAt := q.SentAt - q.SentSlack
 	if s, ok := w.stops[q.Run]; ok && (s.pending || s.orderedAt >= sentAt) {
 		return Judgment{Stopped, s.pending, "a stop was ordered"}
 	}
--- a/core/streamend/streamend_test.go
+++ b/core/streamend/streamend_test.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-const ms = time.Millisecond
+const (
+	ms    = time.Millisecond
+	slack = 250 * ms
+)
 
 // status returns an observation that took a millisecond.
 func status(at time.Duration, process uint64, runs ...Run) Observation {
@@ -17,7 +20,7 @@
 // ended, or where nothing tells, and against complete ones that are not recognized.
 func TestJudge(t *testing.T) {
 	run := func(events int) Run { return Run{"r", events} }
-	question := Question{Run: "r", AskedAt: 10 * time.Second, SentAt: 5 * time.Second, Events: 60}
+	question := Question{Run: "r", AskedAt: 10 * time.Second, SentAt: 5 * time.Second, SentSlack: slack, Events: 60}
 	after := question.AskedAt + settleTime
 	for name, c := range map[string]struct {
 		watch func(w *Watch)
@@ -71,7 +74,7 @@
 			w.Observe(status(after, 1))
 		}, Judgment{Unknown, false, ""}},
 		"sent within the slack of the first status": {func(w *Watch) {
-			w.Observe(status(question.SentAt-SentSlack, 1))
+			w.Observe(status(question.SentAt-slack, 1))
 			w.Observe(status(after, 1))
 		}, Judgment{Unknown, false, ""}},
 		"stop in progress": {func(w *Watch) {
@@ -167,7 +170,7 @@
 // have stopped.
 func TestRestartedAgentKnowsNoEarlierStops(t *testing.T) {
 	start := 10 * time.Second
-	question := Question{Run: "r", AskedAt: 20 * time.Second, SentAt: 5 * time.Second, Events: 60}
+	question := Question{Run: "r", AskedAt: 20 * time.Second, SentAt: 5 * time.Second, SentSlack: slack, Events: 60}
 	for listedAt, want := range map[time.Duration]Verdict{start + ms: Unknown, start + inheritedTime: Ended} {
 		w := New(start)
 		w.Observe(status(listedAt, 1, Run{"r", 50}))
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -29,9 +29,9 @@
 	status Status
 	// statusErr is the error of statuses.
 	statusErr error
-	refuse map[string]bool
-	copied map[string]int
-	calls  []string
+	refuse    map[string]bool
+	copied    map[string]int
+	calls     []string
 	// stopErr is the error of last moves. With keepCopy, the server keeps a copy nevertheless.
 	stopErr  error
 	keepCopy bool
--- a/evacuate/streamend.go
+++ b/evacuate/streamend.go
@@ -21,6 +21,13 @@
 	restTimeout = 4 * time.Second
 )
 
+const (
+	// minSentSlack is how long a question for the end of a stream is expected to be under way, and maxSentSlack
+	// the longest time that is tried. The longer, the less is known of generations that began lately.
+	minSentSlack = 250 * time.Millisecond
+	maxSentSlack = 2 * time.Second
+)
+
 // endWatch is what the agent saw of how generations end.
 type endWatch struct {
 	mu    sync.Mutex
@@ -88,6 +95,8 @@
 	// SentAgo is how long ago the request was sent to the server, and Events how many events arrived.
 	SentAgo time.Duration
 	Events  int
+	// SentSlack is how long the question may be under way.
+	SentSlack time.Duration
 }
 
 // StreamEndReply holds the verdict, its reason, and how long the agent waited for it.
@@ -101,7 +110,8 @@
 // to endTimeout, or restTimeout, for the status that decides.
 func (s *service) StreamEnd(request *StreamEndRequest, reply *StreamEndReply) error {
 	a, askedAt := s.agent, fleet.SinceBoot()
-	q := streamend.Question{Run: request.Run, AskedAt: askedAt, SentAt: askedAt - request.SentAgo, Events: request.Events}
+	q := streamend.Question{Run: request.Run, AskedAt: askedAt, SentAt: askedAt - request.SentAgo,
+		SentSlack: max(minSentSlack, request.SentSlack), Events: request.Events}
 	started := time.Now()
 	for {
 		judgment, changed := a.ends.judge(q)
@@ -133,14 +143,21 @@
 func (l *Locator) StreamEnd(ctx context.Context, server backend.Server, end gateway.StreamEnd) (streamend.Verdict, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, restTimeout+reportTimeout)
 	defer cancel()
-	var reply StreamEndReply
-	started := time.Now()
-	if err := l.Pool.Call(ctx, l.AgentAddress(server.Address), ServiceName+".StreamEnd",
-		&StreamEndRequest{Run: end.ID, SentAgo: end.SentAgo, Events: end.Events}, &reply); err != nil {
-		return streamend.Unknown, "", err
-	}
-	if time.Since(started)-reply.Waited > streamend.SentSlack {
-		return streamend.Unknown, "the question took too long", nil
+	asked := time.Now()
+	for slack := minSentSlack; ; {
+		var reply StreamEndReply
+		started := time.Now()
+		request := StreamEndRequest{Run: end.ID, SentAgo: end.SentAgo + started.Sub(asked), Events: end.Events, SentSlack: slack}
+		if err := l.Pool.Call(ctx, l.AgentAddress(server.Address), ServiceName+".StreamEnd", &request, &reply); err != nil {
+			return streamend.Unknown, "", err
+		}
+		took := time.Since(started) - reply.Waited
+		if took <= slack {
+			return reply.Verdict, reply.Reason, nil
+		}
+		// The question may have been under way for longer than the agent assumed.
+		if slack = 2 * took; slack > maxSentSlack {
+			return streamend.Unknown, "the question took too long", nil
+		}
 	}
-	return reply.Verdict, reply.Reason, nil
 }
--- a/evacuate/streamend_test.go
+++ b/evacuate/streamend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -40,7 +42,7 @@
 			engine := &testEngine{status: running, copied: map[string]int{}, stopErr: c.err}
 			agent, locator := newAgent(t, engine)
 			awaitRun(t, agent, "r1")
-			time.Sleep(2 * streamend.SentSlack)
+			time.Sleep(2 * minSentSlack)
 			sent := time.Now()
 			if c.moved {
 				leaving := running
@@ -121,7 +123,7 @@
 	engine := &testEngine{status: running, copied: map[string]int{}}
 	agent, locator := newAgent(t, engine)
 	awaitRun(t, agent, "r1")
-	time.Sleep(2 * streamend.SentSlack)
+	time.Sleep(2 * minSentSlack)
 	sent := time.Now()
 	setError := func(err error) {
 		engine.mu.Lock()
@@ -145,3 +147,67 @@
 		t.Errorf("a server that can not be reached: %v, %v, after %v", verdict, err, took)
 	}
 }
+
+// Guards against complete streams that are cut because calls to the agent are slow, and against a slow question
+// whose age the agent does not know.
+func TestSlowQuestionsForTheEndOfAStream(t *testing.T) {
+	for delay, want := range map[time.Duration]streamend.Verdict{
+		minSentSlack: streamend.Ended, maxSentSlack: streamend.Unknown,
+	} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			agent, locator := newAgent(t, &testEngine{copied: map[string]int{}})
+			// Far longer than any slack, as agents mostly run.
+			time.Sleep(2 * maxSentSlack)
+			target := locator.AgentAddress("")
+			slow := slowLink(t, target, delay)
+			locator.AgentAddress = func(string) string { return slow }
+			sent := time.Now()
+			time.Sleep(4 * minSentSlack)
+			verdict, reason, err := locator.StreamEnd(context.Background(), backend.Server{Address: "self"},
+				gateway.StreamEnd{ID: "r1", SentAgo: time.Since(sent), Events: 3})
+			if err == nil && verdict != want || err != nil && want == streamend.Ended {
+				t.Errorf("%v, %q, %v, want %v; asked %s", verdict, reason, err, want, agent.metrics.streamEnds)
+			}
+		})
+	}
+}
+
+// slowLink returns the address of a proxy to target that delays what goes to it.
+func slowLink(t *testing.T, target string, delay time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			client, err := l.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = client.Close()
+				continue
+			}
+			t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+			go func() { _, _ = io.Copy(client, server) }()
+			go func() {
+				buffer := make([]byte, 4096)
+				for {
+					n, err := client.Read(buffer)
+					if err != nil {
+						return
+					}
+					time.Sleep(delay)
+					if _, err := server.Write(buffer[:n]); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
