--- a/gateway/streamend_test.go
+++ b/gateway/streamend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -115,3 +117,25 @@
 		f.view = &view
 	})
 }
+
+// Guards against a stream without framing that looks complete to an HTTP/1.0 caller, for whom the close is the end.
+func TestUnconfirmedEndResetsHTTP10Callers(t *testing.T) {
+	for verdict, whole := range map[streamend.Verdict]bool{streamend.Ended: true, streamend.Stopped: false, streamend.Unknown: false} {
+		t.Run(verdict.String(), func(t *testing.T) {
+			server := newTestServer(t, func(w http.ResponseWriter, r *http.Request) { unframed(w, r, events(1, 3)) })
+			h := newHarness(t, &endLocator{verdict: verdict, locatorFunc: func(backend.Server, string) (string, string, error) {
+				return "", "", errors.New("not found")
+			}}, server)
+			h.declareEngine()
+			conn, err := net.Dial("tcp", h.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "POST /stream/x HTTP/1.0\r\nHost: h.example\r\nT-Id: a\r\nT-Key: key\r\nContent-Length: 0\r\n\r\n")
+			if _, err := io.ReadAll(conn); (err == nil) != whole {
+				t.Errorf("read %v, want whole: %v", err, whole)
+			}
+		})
+	}
+}
