Check for a crash while the end of a stream is not confirmed

A server that crashed was checked, and its crash reported, only after its agent had no answer for a second or more. The check runs 0.3 s after the end of the stream now, unless the end is confirmed before.

TestCrashIsReportedBeforeTheEndIsJudged failed before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -130,7 +130,9 @@
 			x.reportResult(u.server.ID, placement.Canceled)
 		}
 		if resumeErr != nil {
-			x.reportCrash(ctx, u.server)
+			if !isUnconfirmedEnd(err) {
+				x.reportCrash(ctx, u.server)
+			}
 			x.g.metrics.streamsAborted.Add(1)
 			x.w.abort()
 			return
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -16,6 +16,9 @@
 	confirmTimeout = 1500 * time.Millisecond
 	// confirmRetryDelay is the delay after a failed call.
 	confirmRetryDelay = 100 * time.Millisecond
+	// unconfirmedCrashDelay is how long after the end of a stream without framing the server is checked for a
+	// crash if the end is not confirmed by then. Most ends are, and a server that crashed is back after seconds.
+	unconfirmedCrashDelay = 300 * time.Millisecond
 )
 
 // StreamEnd describes a generation whose answer ended with its connection.
@@ -51,7 +54,11 @@
 	if u.framing() != framingClose || !x.g.hasAgent(x.service, u.server) {
 		return nil
 	}
+	cancelCrashCheck := x.newCrashCheck(ctx, u.server).runAfter(unconfirmedCrashDelay)
 	verdict, reason := x.askEnd(ctx, u, events)
+	if verdict != streamend.Unknown {
+		cancelCrashCheck()
+	}
 	if verdict == streamend.Unknown && x.hasAllTokens(events) {
 		verdict, reason = streamend.Ended, "the declared maximum of tokens arrived"
 	}
--- a/gateway/streamend_test.go
+++ b/gateway/streamend_test.go
@@ -8,10 +8,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/desired"
 	"arbutusmast.example/arbutusmast/core/streamend"
+	"arbutusmast.example/arbutusmast/fleet"
 	"github.com/pkg/errors"
 )
 
@@ -139,3 +141,41 @@
 		})
 	}
 }
+
+// slowLocator is a Locator whose agents need long to know nothing.
+type slowLocator struct {
+	locatorFunc
+	delay time.Duration
+}
+
+func (l slowLocator) StreamEnd(context.Context, backend.Server, StreamEnd) (streamend.Verdict, string, error) {
+	time.Sleep(l.delay)
+	return streamend.Unknown, "test", nil
+}
+
+// Guards against a crash that is not reported because the server is back before the agent knows nothing of the
+// end of the stream.
+func TestCrashIsReportedBeforeTheEndIsJudged(t *testing.T) {
+	var server *testServer
+	server = newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+		unframed(w, r, events(1, 3))
+		_ = server.Close()
+		time.AfterFunc(2*unconfirmedCrashDelay, func() {
+			if l, err := net.Listen("tcp", server.address); err == nil {
+				t.Cleanup(func() { _ = l.Close() })
+			}
+		})
+	})
+	h := newHarness(t, slowLocator{delay: 4 * unconfirmedCrashDelay, locatorFunc: func(backend.Server, string) (string, string, error) {
+		return "", "", errors.New("not found")
+	}}, server)
+	reporter := &testReporter{}
+	h.gateway.options.CrashReporter = reporter
+	h.declareEngine()
+	if _, _, _, err := h.call("/stream/x"); err == nil {
+		t.Error("the stream looks complete")
+	}
+	if !reporter.await(func(r *fleet.CrashRequest) bool { return len(r.Crashes) == 1 && r.Crashes[0].Server == "i-0" }) {
+		t.Error("the crash was not reported")
+	}
+}
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -54,32 +54,58 @@
 	return true
 }
 
-// reportCrash checks whether a server crashed after the connection to it was lost,
-// and if so reports it to the control group. A server that was told to leave exits by
-// itself, and one that still accepts connections closed this one for another reason.
-func (x *exchange) reportCrash(ctx context.Context, server backend.Server) {
+// crashCheck checks whether a server crashed while it ran a request. It holds copies of what later attempts of
+// the request change.
+type crashCheck struct {
+	x                *exchange
+	server           backend.Server
+	digest           string
+	sentAt, failedAt time.Time
+	begun            bool
+}
+
+// newCrashCheck returns a check after the connection to a server was lost, nil if nobody asks for crashes. A
+// server that was told to leave exits by itself.
+func (x *exchange) newCrashCheck(ctx context.Context, server backend.Server) *crashCheck {
 	if x.g.options.CrashReporter == nil || ctx.Err() != nil || x.g.services.isLeaving(server.ID) {
+		return nil
+	}
+	return &crashCheck{x, server, x.digest(), x.sentAt, time.Now(), x.begun}
+}
+
+// run reports a crash to the control group if the server does not accept connections. One that does closed the
+// connection for another reason.
+func (c *crashCheck) run() {
+	conn, err := net.DialTimeout("tcp", c.server.Address, connectTimeout)
+	if err == nil {
+		_ = conn.Close()
 		return
 	}
-	digest, sentAt, failedAt, begun := x.digest(), x.sentAt, time.Now(), x.begun
-	go func() {
-		time.Sleep(crashCheckDelay)
-		conn, err := net.DialTimeout("tcp", server.Address, connectTimeout)
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		x.g.cold.assumeCold(server, x.g.options.Fleet.View())
-		x.g.metrics.serverCrashes.Add(1)
-		x.logger.Info("backend server crashed during the request", zap.String("backend_server", server.ID),
-			zap.String("digest", digest), zap.Error(err))
-		x.g.options.CrashReporter.Crashed(&fleet.CrashRequest{Crashes: []fleet.Crash{{
-			Server: server.ID, Digest: digest, SentAgo: time.Since(sentAt), CrashedAgo: time.Since(failedAt),
-		}}})
-		if !begun {
-			x.suspectParts(server, sentAt, failedAt)
-		}
-	}()
+	g := c.x.g
+	g.cold.assumeCold(c.server, g.options.Fleet.View())
+	g.metrics.serverCrashes.Add(1)
+	c.x.logger.Info("backend server crashed during the request", zap.String("backend_server", c.server.ID),
+		zap.String("digest", c.digest), zap.Error(err))
+	g.options.CrashReporter.Crashed(&fleet.CrashRequest{Crashes: []fleet.Crash{{
+		Server: c.server.ID, Digest: c.digest, SentAgo: time.Since(c.sentAt), CrashedAgo: time.Since(c.failedAt),
+	}}})
+	if !c.begun {
+		c.x.suspectParts(c.server, c.sentAt, c.failedAt)
+	}
+}
+
+// runAfter runs the check in the background after a delay, unless the returned function is called before.
+func (c *crashCheck) runAfter(delay time.Duration) (cancel func()) {
+	if c == nil {
+		return func() {}
+	}
+	timer := time.AfterFunc(delay, c.run)
+	return func() { timer.Stop() }
+}
+
+// reportCrash checks whether a server crashed after the connection to it was lost.
+func (x *exchange) reportCrash(ctx context.Context, server backend.Server) {
+	x.newCrashCheck(ctx, server).runAfter(crashCheckDelay)
 }
 
 // clearSuspicion reports that a server completed a suspect request without a crash.
