Take the last order to stop a generation for the one that counts

Found in review: a last move that fails late with a copy lets the generation resume at its server. When it was stopped there a second time, the time of the first order was kept, the second counted as one of an earlier stay, and the end of the stopped stream was confirmed. Each order has its own time now; one that the server answers with 'not running' gives way to the one before it.

Tests of ends wait for longer than any slack before they ask.

--- a/core/streamend/streamend.go
+++ b/core/streamend/streamend.go
@@ -85,6 +85,8 @@
 	endedAt time.Duration
 	// unanswered is set if the server did not answer, so that the order may take effect later.
 	unanswered bool
+	// before is the result of the order before, nil if there was none.
+	before *stop
 	// listed is set once the run was listed after endedAt, with events.
 	listed bool
 	events int
@@ -178,12 +180,13 @@
 
 // StopOrdered records that a generation is about to be stopped. StopEnded has to follow.
 func (w *Watch) StopOrdered(now time.Duration, run string) {
-	s, ok := w.stops[run]
-	if !ok {
+	s := stop{orderedAt: now, pending: true}
+	if before, ok := w.stops[run]; ok {
+		before.before = nil
+		s.before, s.unanswered = &before, before.unanswered
+	} else {
 		w.forgetStop()
-		s.orderedAt = now
 	}
-	s.pending, s.listed = true, false
 	w.stops[run] = s
 }
 
@@ -202,13 +205,16 @@
 // StopEnded records the result of an order.
 func (w *Watch) StopEnded(now time.Duration, run string, result StopResult) {
 	s, ok := w.stops[run]
-	if !ok {
+	switch {
+	case !ok:
 		return
-	}
-	if result == StopNotRunning && s.endedAt == 0 {
-		// No earlier order can have stopped it.
+	case result == StopNotRunning && s.before == nil:
 		delete(w.stops, run)
 		return
+	case result == StopNotRunning:
+		// The order stopped nothing, but the one before may have.
+		w.stops[run] = *s.before
+		return
 	}
 	s.pending, s.endedAt, s.unanswered = false, now, s.unanswered || result == StopUnanswered
 	w.stops[run] = s
--- a/core/streamend/streamend_test.go
+++ b/core/streamend/streamend_test.go
@@ -191,3 +191,24 @@
 		t.Errorf("%d runs are remembered, want %d at most", len(w.runs), maxRuns)
 	}
 }
+
+// Guards against a second stop that counts as one of an earlier stay. A last move that fails late with a copy lets
+// the generation resume at the same server, which is moved again soon.
+func TestSecondStopOfGenerationThatResumedHere(t *testing.T) {
+	w := New(0)
+	w.Observe(status(2*time.Second, 1))
+	w.Observe(status(3900*ms, 1, Run{"r", 3}))
+	w.StopOrdered(4*time.Second, "r")
+	w.StopEnded(5*time.Second, "r", StopAnswered)
+	// The entry resumes at 5.03 s. The interval between events is longer than that between statuses.
+	w.Observe(status(5100*ms, 1, Run{"r", 4}))
+	w.Observe(status(5200*ms, 1, Run{"r", 4}))
+	w.StopOrdered(5210*ms, "r")
+	w.StopEnded(5230*ms, "r", StopAnswered)
+	w.Observe(status(5300*ms, 1))
+	w.Observe(status(5700*ms, 1))
+	got := w.Judge(Question{Run: "r", AskedAt: 5220 * ms, SentAt: 5030 * ms, SentSlack: slack, Events: 4})
+	if got.Verdict != Stopped {
+		t.Errorf("%v, want stopped", got)
+	}
+}
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -35,6 +35,8 @@
 	// stopErr is the error of last moves. With keepCopy, the server keeps a copy nevertheless.
 	stopErr  error
 	keepCopy bool
+	// made is the number of events in answers to moves.
+	made int
 }
 
 func (e *testEngine) Status(context.Context) (Status, error) {
@@ -52,7 +54,7 @@
 		call = "stop "
 	}
 	e.calls = append(e.calls, call+generationID+" to "+target)
-	refused, stopErr, name := e.refuse[target], error(nil), ""
+	refused, stopErr, name, made := e.refuse[target], error(nil), "", max(9, e.made)
 	if stop {
 		stopErr = e.stopErr
 	}
@@ -70,12 +72,12 @@
 		return Copy{}, errors.New("no room")
 	}
 	if stopErr != nil {
-		return Copy{Name: name, Events: 9}, stopErr
+		return Copy{Name: name, Events: made}, stopErr
 	}
 	if first {
 		time.Sleep(2 * maxFinalCopy)
 	}
-	return Copy{Name: "here/" + generationID, Events: 9}, nil
+	return Copy{Name: "here/" + generationID, Events: made}, nil
 }
 
 func (e *testEngine) ColdFor(context.Context, string) (time.Duration, error) {
--- a/evacuate/streamend_test.go
+++ b/evacuate/streamend_test.go
@@ -42,7 +42,7 @@
 			engine := &testEngine{status: running, copied: map[string]int{}, stopErr: c.err}
 			agent, locator := newAgent(t, engine)
 			awaitRun(t, agent, "r1")
-			time.Sleep(2 * minSentSlack)
+			time.Sleep(2 * maxSentSlack)
 			sent := time.Now()
 			if c.moved {
 				leaving := running
@@ -123,7 +123,7 @@
 	engine := &testEngine{status: running, copied: map[string]int{}}
 	agent, locator := newAgent(t, engine)
 	awaitRun(t, agent, "r1")
-	time.Sleep(2 * minSentSlack)
+	time.Sleep(2 * maxSentSlack)
 	sent := time.Now()
 	setError := func(err error) {
 		engine.mu.Lock()
@@ -211,3 +211,38 @@
 	}()
 	return l.Addr().String()
 }
+
+// Guards against a confirmed end of a generation that resumed at its leaving server after a slow last move, and that
+// a second last move stopped.
+func TestStreamEndAfterSecondLastMove(t *testing.T) {
+	engine := &testEngine{status: leavingStatus(), copied: map[string]int{}, stopErr: ErrRefused, keepCopy: true}
+	stops := make(chan struct{}, 8)
+	engine.onMove = func(_ string, stop bool) {
+		if stop {
+			if len(stops) == 0 {
+				time.Sleep(3 * minSentSlack)
+			}
+			stops <- struct{}{}
+		}
+	}
+	agent, locator := newAgent(t, engine)
+	if got := waitForMove(t, locator, "r1"); got != "self here/r1" {
+		t.Fatalf("moved to %q", got)
+	}
+	sent := time.Now()
+	engine.mu.Lock()
+	engine.stopErr, engine.made = nil, 10
+	engine.status.Generations = []evacuation.Generation{{ID: "r1", Tokens: 3000, Events: 10}}
+	engine.mu.Unlock()
+	for end := time.Now().Add(10 * time.Second); agent.metrics.moved.Value() == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	engine.mu.Lock()
+	engine.status.Generations = nil
+	engine.mu.Unlock()
+	verdict, reason, err := locator.StreamEnd(context.Background(), backend.Server{Address: "self"},
+		gateway.StreamEnd{ID: "r1", SentAgo: time.Since(sent), Events: 10})
+	if err != nil || verdict != streamend.Stopped {
+		t.Errorf("%v, %q, %v, %d last moves", verdict, reason, err, len(stops))
+	}
+}
