Take no run that was moved back for a sign of the same process

Found in review: a server that crashed and started again counted as the same process if a run of the last status was listed again, which one that was moved away and back is. Streams of the old process that end late at a slow reader were confirmed. A run shows the same process only within 1 s, and not after an order to stop it.

TestMovedBackGenerationIsNoSameProcess failed before.

--- a/core/streamend/streamend.go
+++ b/core/streamend/streamend.go
@@ -37,6 +37,9 @@
 	leavingSettleTime = 300 * time.Millisecond
 	// inheritedTime is how long orders of an earlier process on this host may still take effect.
 	inheritedTime = time.Second
+	// maxStatusGap is the longest time between two statuses over which a run may show that the process is the
+	// same. A server that crashed needs seconds to start again.
+	maxStatusGap = time.Second
 	// maxStops and maxRuns bound what is remembered.
 	maxStops = 4096
 	maxRuns  = 4096
@@ -134,14 +137,19 @@
 	return same
 }
 
-// continues reports whether a run of the last status goes on, which it does only in the same process.
+// continues reports whether a run of the last status goes on, which it does only in the same process. One that was
+// stopped may have come back to another.
 func (w *Watch) continues(o Observation) bool {
+	if o.RequestedAt-w.last.ReceivedAt > maxStatusGap {
+		return false
+	}
 	events := make(map[string]int, len(w.last.Runs))
 	for _, run := range w.last.Runs {
 		events[run.ID] = run.Events
 	}
 	for _, run := range o.Runs {
-		if before, ok := events[run.ID]; ok && run.Events >= before {
+		_, stopped := w.stops[run.ID]
+		if before, ok := events[run.ID]; ok && !stopped && before > 0 && run.Events >= before {
 			return true
 		}
 	}
