Ask for two statuses as evidence that a server lives on

Found in review: a second copy of a status that arrives late on its connection counts as the answer to the next request, so one status after the end of a stream may be older than the end of its server. Two statuses of one process have to be requested after the question now, the second 0.1 s after it as before.

TestJudge 'seen once since the question' failed before; its other cases observe two statuses.

--- a/core/streamend/streamend.go
+++ b/core/streamend/streamend.go
@@ -106,6 +106,8 @@
 	inheritedUntil time.Duration
 	observed       bool
 	last           Observation
+	// previousAt is when the status before last was requested, -1 if another process sent it.
+	previousAt time.Duration
 	// since is the time from which on the process of the server is known to be the same one.
 	since time.Duration
 	// runs are the runs that were listed since then.
@@ -123,8 +125,9 @@
 // Observe takes in a status. It reports whether the process of the server is still known to be the same.
 func (w *Watch) Observe(o Observation) (same bool) {
 	same = w.observed && (o.Process == w.last.Process || w.continues(o))
+	w.previousAt = w.last.RequestedAt
 	if !same {
-		w.since, w.runs = o.ReceivedAt, map[string]listing{}
+		w.since, w.runs, w.previousAt = o.ReceivedAt, map[string]listing{}, -1
 	}
 	for _, run := range o.Runs {
 		if o.RequestedAt >= w.inheritedUntil {
@@ -244,7 +247,8 @@
 }
 
 // Judge judges how a generation ended. It is certain that the generation ended by itself if one process of
-// the server ran it from its begin, lives on without it, and got no order to stop it.
+// the server ran it from its begin, lives on without it, and got no order to stop it. Two statuses have to
+// show that it lives, because a late copy of an earlier one may stand for one of them.
 func (w *Watch) Judge(q Question) Judgment {
 	sentAt := q.SentAt - q.SentSlack
 	if s, ok := w.stops[q.Run]; ok && (s.pending || s.orderedAt >= sentAt) {
@@ -257,7 +261,7 @@
 	if w.last.Leaving {
 		settle = leavingSettleTime
 	}
-	if !w.observed || w.last.RequestedAt < q.AskedAt+settle {
+	if !w.observed || w.previousAt < q.AskedAt || w.last.RequestedAt < q.AskedAt+settle {
 		return Judgment{Unknown, true, "the server was not seen since"}
 	}
 	listing, listed := w.runs[q.Run]
--- a/core/streamend/streamend_test.go
+++ b/core/streamend/streamend_test.go
@@ -16,6 +16,12 @@
 	return Observation{RequestedAt: at, ReceivedAt: at + ms, Process: process, Runs: runs}
 }
 
+// end observes statuses without runs after the question, of which the last decides.
+func end(w *Watch, at time.Duration, process uint64) {
+	w.Observe(status(at-50*ms, process))
+	w.Observe(status(at, process))
+}
+
 // Guards against a verdict that a generation ended by itself where it was stopped, where its server may have
 // ended, or where nothing tells, and against complete ones that are not recognized.
 func TestJudge(t *testing.T) {
@@ -31,6 +37,16 @@
 			w.Observe(status(2*time.Second, 1))
 			w.Observe(status(9*time.Second, 1, run(50)))
 		}, Judgment{Unknown, true, ""}},
+		"seen once since the question": {func(w *Watch) {
+			w.Observe(status(2*time.Second, 1))
+			w.Observe(status(question.AskedAt-ms, 1))
+			w.Observe(status(after, 1))
+		}, Judgment{Unknown, true, ""}},
+		"another process between two statuses": {func(w *Watch) {
+			w.Observe(status(2*time.Second, 1, run(50)))
+			w.Observe(status(question.AskedAt+ms, 1))
+			w.Observe(status(after, 2))
+		}, Judgment{Unknown, true, ""}},
 		"seen too soon after the question": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.Observe(status(after-ms, 1))
@@ -38,11 +54,11 @@
 		"ended": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.Observe(status(9*time.Second, 1, run(50)))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Ended, false, ""}},
 		"too short to be listed": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Ended, false, ""}},
 		"still listed": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
@@ -50,38 +66,40 @@
 		}, Judgment{Unknown, true, ""}},
 		"more events made": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1, run(61)))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Unknown, false, ""}},
 		"another process since": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1, run(50)))
-			w.Observe(status(after, 2))
+			end(w, after, 2)
 		}, Judgment{Unknown, false, ""}},
 		"another process before, and listed since": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.Observe(status(7*time.Second, 2, run(50)))
-			w.Observe(status(after, 2))
+			end(w, after, 2)
 		}, Judgment{Ended, false, ""}},
 		"another connection, but another run goes on": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.Observe(status(9500*ms, 1, Run{"other", 3}))
+			w.Observe(status(after-50*ms, 2, Run{"other", 4}))
 			w.Observe(status(after, 2, Run{"other", 4}))
 		}, Judgment{Ended, false, ""}},
 		"a run of the same id begins in another process": {func(w *Watch) {
-			w.Observe(status(2*time.Second, 1, Run{"other", 3}))
+			w.Observe(status(9500*ms, 1, Run{"other", 3}))
+			w.Observe(status(after-50*ms, 2, Run{"other", 1}))
 			w.Observe(status(after, 2, Run{"other", 1}))
 		}, Judgment{Unknown, false, ""}},
 		"sent before the first status": {func(w *Watch) {
 			w.Observe(status(6*time.Second, 1))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Unknown, false, ""}},
 		"sent within the slack of the first status": {func(w *Watch) {
 			w.Observe(status(question.SentAt-slack, 1))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Unknown, false, ""}},
 		"stop in progress": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.StopOrdered(9*time.Second, "r")
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Stopped, true, ""}},
 		"stop not answered, and listed again": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
@@ -89,14 +107,14 @@
 			w.StopEnded(7*time.Second, "r", StopUnanswered)
 			w.Observe(status(8*time.Second, 1, run(40)))
 			w.Observe(status(9*time.Second, 1, run(50)))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Stopped, false, ""}},
 		"stop answered": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.StopOrdered(6*time.Second, "r")
 			w.StopEnded(7*time.Second, "r", StopAnswered)
 			w.Observe(status(8*time.Second, 1, run(40)))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Stopped, false, ""}},
 		"stop refused, and the run makes events": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
@@ -104,13 +122,13 @@
 			w.StopEnded(7*time.Second, "r", StopAnswered)
 			w.Observe(status(8*time.Second, 1, run(40)))
 			w.Observe(status(9*time.Second, 1, run(50)))
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Ended, false, ""}},
 		"stop of a generation that had ended": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1, run(60)))
 			w.StopOrdered(9*time.Second, "r")
 			w.StopEnded(9*time.Second+ms, "r", StopNotRunning)
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Ended, false, ""}},
 		"second stop of a generation that the first one stopped": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1, run(60)))
@@ -118,27 +136,29 @@
 			w.StopEnded(9*time.Second, "r", StopUnanswered)
 			w.StopOrdered(9*time.Second, "r")
 			w.StopEnded(9*time.Second+ms, "r", StopNotRunning)
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Stopped, false, ""}},
 		"stop of an earlier stay": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.StopOrdered(3*time.Second, "r")
 			w.StopEnded(4*time.Second, "r", StopAnswered)
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Ended, false, ""}},
 		"stop of another generation": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
 			w.StopOrdered(6*time.Second, "other")
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Ended, false, ""}},
 		"leaving, seen once": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
+			w.Observe(status(after-50*ms, 1))
 			o := status(after, 1)
 			o.Leaving = true
 			w.Observe(o)
 		}, Judgment{Unknown, true, ""}},
 		"leaving, lives on": {func(w *Watch) {
 			w.Observe(status(2*time.Second, 1))
+			w.Observe(status(after, 1))
 			o := status(question.AskedAt+leavingSettleTime, 1)
 			o.Leaving = true
 			w.Observe(o)
@@ -150,7 +170,7 @@
 			for i := range maxStops {
 				w.StopOrdered(7*time.Second, fmt.Sprint(i))
 			}
-			w.Observe(status(after, 1))
+			end(w, after, 1)
 		}, Judgment{Unknown, false, ""}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -175,7 +195,7 @@
 	for listedAt, want := range map[time.Duration]Verdict{start + ms: Unknown, start + inheritedTime: Ended} {
 		w := New(start)
 		w.Observe(status(listedAt, 1, Run{"r", 50}))
-		w.Observe(status(question.AskedAt+settleTime, 1))
+		end(w, question.AskedAt+settleTime, 1)
 		if got := w.Judge(question); got.Verdict != want {
 			t.Errorf("listed after %v: %v, want %v", listedAt-start, got, want)
 		}
--- a/evacuate/streamend.go
+++ b/evacuate/streamend.go
@@ -112,14 +112,15 @@
 	a, askedAt := s.agent, fleet.SinceBoot()
 	q := streamend.Question{Run: request.Run, AskedAt: askedAt, SentAt: askedAt - request.SentAgo,
 		SentSlack: max(minSentSlack, request.SentSlack), Events: request.Events}
-	started := time.Now()
+	started, rested := time.Now(), false
 	for {
 		judgment, changed := a.ends.judge(q)
 		limit := endTimeout
+		rested = rested || a.ends.resting.Load()
 		switch {
 		case judgment.Verdict == streamend.Stopped:
 			limit = locateTimeout
-		case a.ends.resting.Load():
+		case rested:
 			limit = restTimeout
 		}
 		reply.Verdict, reply.Reason, reply.Waited = judgment.Verdict, judgment.Reason, time.Since(started)
