Resume a stream with status 200 only

Found in review: the answer to a request that resumes a stream counted as the rest of the stream unless it was an error of the server, so the body of a 302, 400 or 404 was sent on to the caller, and its end was the end of the stream (ORDER). Other statuses mean that the stream does not go on now.

TestStreamDoesNotGoOnWithAnotherStatus failed before for 204, 302, 400, 404.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -253,7 +254,7 @@
 		return nil, err
 	}
 	x.g.countCrossing(next, crossingResumed)
-	if result != dispatch.Answered {
+	if result != dispatch.Answered || next.response.StatusCode != http.StatusOK {
 		next.close()
 		return nil, errors.Errorf("the server with the copy responded with status %d", next.response.StatusCode)
 	}
