Take no report without a list of runs for evidence of an end

Found in review: a report whose runs were absent, null or not readable counted as one of a replica without runs, which the agent took for 'the server lives on without it'. Such a report still tells the load, and is no evidence.

--- a/evacuate/engine.go
+++ b/evacuate/engine.go
@@ -26,6 +26,8 @@
 	LeavesKnown bool
 	Load        backend.Load
 	Generations []evacuation.Generation
+	// ListsRuns is set if the server listed its generations. Otherwise Generations may lack some.
+	ListsRuns bool
 	// Process is the same number only for statuses that the same process of the server sent.
 	Process uint64
 }
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -42,7 +42,9 @@
 func (e *testEngine) Status(context.Context) (Status, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.status, e.statusErr
+	status := e.status
+	status.ListsRuns = true
+	return status, e.statusErr
 }
 
 func (e *testEngine) Move(ctx context.Context, generationID, target string, stop bool) (Copy, error) {
--- a/evacuate/streamend.go
+++ b/evacuate/streamend.go
@@ -58,8 +58,12 @@
 	return e.watch.Judge(q), e.changed
 }
 
-// watchEnds takes in a status that was requested at a time.
+// watchEnds takes in a status that was requested at a time. One that does not list all generations is no
+// evidence.
 func (a *Agent) watchEnds(requestedAt time.Duration, s Status) {
+	if !s.ListsRuns {
+		return
+	}
 	o := streamend.Observation{RequestedAt: requestedAt, ReceivedAt: fleet.SinceBoot(), Process: s.Process, Leaving: s.Leaving}
 	for _, generation := range s.Generations {
 		o.Runs = append(o.Runs, streamend.Run{ID: generation.ID, Events: generation.Events})
