Check the status of backend servers before the body is read

Found in review: the body of a 101 is the connection, and net/http no longer ends it with the context of the call, so a server in trouble held a call slot or the slot of orders for as long as it liked.

--- a/engine/client.go
+++ b/engine/client.go
@@ -89,9 +89,9 @@
 		return nil, errors.Wrap(err, "build request")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := c.send(req)
 	if err != nil {
-		return nil, transportError(err)
+		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
@@ -104,6 +104,25 @@
 	return &sseStream{requestID: r.ID, body: resp.Body, scanner: scanner}, nil
 }
 
+// send sends a request and returns the response, whose status is a final one of HTTP.
+func (c *Client) send(req *http.Request) (*http.Response, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	return resp, checkFinal(resp)
+}
+
+// checkFinal closes a response without a final status of HTTP and returns an error. The body of 101 is the
+// connection, and reading it would outlast the context of the call.
+func checkFinal(resp *http.Response) error {
+	if httpstatus.IsFinal(resp.StatusCode) {
+		return nil
+	}
+	_ = resp.Body.Close()
+	return errors.Wrapf(ErrFailed, "response with status %q, which is no final one of HTTP", resp.Status)
+}
+
 // generateBody merges the options of the request into the caller's JSON. It returns
 // the body and the path.
 func generateBody(r Request) ([]byte, string, error) {
@@ -243,9 +262,9 @@
 	for k, v := range header {
 		req.Header[k] = v
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.send(req)
 	if err != nil {
-		return transportError(err)
+		return err
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
@@ -315,9 +334,9 @@
 	for k, v := range r.HTTPHeader {
 		req.Header[k] = v
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.send(req)
 	if err != nil {
-		return Response{}, transportError(err)
+		return Response{}, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxForwardBodyBytes+1))
@@ -327,9 +346,6 @@
 	if len(body) > maxForwardBodyBytes {
 		return Response{}, errors.Wrap(ErrConnectionLost, "answer is larger than the limit")
 	}
-	if !httpstatus.IsFinal(resp.StatusCode) {
-		return Response{}, errors.Wrapf(ErrFailed, "response with status %q, which is none of HTTP", resp.Status)
-	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: unframed}, nil
 }
--- a/engine/order.go
+++ b/engine/order.go
@@ -54,6 +54,9 @@
 		}
 		return errors.Wrap(ErrConnectionLost, err.Error())
 	}
+	if err := checkFinal(resp); err != nil {
+		return err
+	}
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
 	return controlError(resp.StatusCode, text)
--- a/engine/status_test.go
+++ b/engine/status_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"arbutusmast.example/arbutusmast/core/message"
 	"github.com/pkg/errors"
@@ -46,3 +48,53 @@
 		server.Close()
 	}
 }
+
+// Guards against a call that outlasts its time because the server answered that it changes the protocol and
+// keeps the connection.
+func TestSwitchOfProtocolEndsCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = conn.Write([]byte("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"))
+		}
+	}()
+	client := NewClient(listener.Addr().String())
+	for name, call := range map[string]func(context.Context) error{
+		"Forward": func(ctx context.Context) error {
+			_, err := client.Forward(ctx, &message.ForwardRequest{Method: http.MethodGet, Path: "/"})
+			return err
+		},
+		"Order":  func(ctx context.Context) error { return client.Order(ctx, Order{}) },
+		"Cancel": func(ctx context.Context) error { return client.Cancel(ctx, "r") },
+		"OrderGuarded": func(ctx context.Context) error {
+			return client.OrderGuarded(ctx, Order{}, func() bool { return true })
+		},
+		"Generate": func(ctx context.Context) error {
+			_, err := client.Generate(ctx, Request{ID: "r", Body: []byte("{}")})
+			return err
+		},
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		done := make(chan error, 1)
+		go func() { done <- call(ctx) }()
+		select {
+		case err := <-done:
+			if err == nil {
+				t.Errorf("%s: a switch of protocols counts as a success", name)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("%s lasts 1.7 s longer than its context", name)
+		}
+		cancel()
+	}
+}
