Reset plain answers until close on the INI path that are not written whole

Found in review: since an entry that was killed, or that gave up on a slow caller, closed the connection of an answer without a length in order, and the part looked whole; before, its length showed it. The connection resets unless the whole body was written, as on the users' platform.

TestUnframedAnswerCutByEntryIsReset failed before.

--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusmast.example/arbutusmast/entry"
 	"arbutusmast.example/arbutusmast/netlimit"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -65,7 +66,7 @@
 		Handler:     s.announceClose(handler), ReadHeaderTimeout: readHeaderTimeout,
 		ConnState: s.setState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, httpConnKey{}, s.add(conn))
+			return context.WithValue(entry.WithConn(ctx, conn), httpConnKey{}, s.add(conn))
 		},
 	}
 	return s
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -60,7 +60,7 @@
 		writeError(w, id, e.cutOffFailure(failure))
 		return
 	}
-	writeForwardReply(w, id, reply)
+	writeForwardReply(w, r, id, reply)
 }
 
 func (e *Entry) newPlainCall(
@@ -205,7 +205,7 @@
 	return &reply, nil
 }
 
-func writeForwardReply(w http.ResponseWriter, id message.RequestID, reply *message.ForwardReply) {
+func writeForwardReply(w http.ResponseWriter, r *http.Request, id message.RequestID, reply *message.ForwardReply) {
 	for name, values := range reply.HTTPHeader {
 		if !isHopByHopHeader(name) {
 			w.Header()[name] = values
@@ -213,11 +213,12 @@
 	}
 	w.Header().Set(RequestIDHeader, string(id))
 	w.Header().Set(VerdictHeader, verdict.Ran.String())
+	setWriteDeadline(w)
 	if reply.Unframed {
-		// The body gets no length either, because nothing tells whether it is whole.
-		w.Header().Set("Transfer-Encoding", "identity")
+		// Nothing tells whether the body is whole, so it gets no length.
+		writeUntilClose(w, r, reply)
+		return
 	}
-	setWriteDeadline(w)
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 }
