Clear no suspect by an answer that a crash may have cut

Found in review: a plain service that crashed and closed the connection of an answer without length or chunks in order had 'completed' the request, and an agent reported the suspect as harmless. It asks whether the server crashed first, for suspects with such answers only.

TestCutAnswerClearsNoSuspect failed before.

--- a/agent/service.go
+++ b/agent/service.go
@@ -150,7 +150,8 @@
 	if err == nil {
 		reply.Verdict, reply.Status = verdict.Ran, response.Status
 		reply.HTTPHeader, reply.Body, reply.Unframed = response.Header, response.Body, response.Unframed
-		if f.suspect {
+		// The close that ends an answer without length or chunks may be that of a crash.
+		if f.suspect && !(response.Unframed && b.detector.confirmCrash(ctx)) {
 			b.agent.clearSuspect(b.name, f.digest)
 		}
 		return
