--- a/agent/generate.go
+++ b/agent/generate.go
@@ -182,7 +182,7 @@
 		return &message.End{Started: true, Verdict: verdict.Ran, Refusal: message.Refusal{
 			Verdict: verdict.Ran, Reason: verdict.ReasonBackendError,
 			Message: "the engine went on with another generation"}}, nil
-	case event.HasToken && event.Index > next:
+	case (event.HasToken || event.FinishReason != "") && event.Index > next:
 		return nil, errTokenGap
 	case event.HasToken && event.Index == next:
 		r.append(event.Token)
