Decide when a request is sent whether an agent has to confirm its end

Found in review: whether an agent runs beside a server was looked up at the end of the stream. If the service had been removed or no longer declared an engine by then, a stopped stream without framing ended as complete, and nobody was asked.

TestAgentIsAskedAlthoughTheServiceChanged failed before, both cases.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -200,7 +200,7 @@
 		}
 		f := x.forwardMetadata(server)
 		f.Copy, f.LastEventID, f.Priority = copyName, lastEventID, resumedPriority
-		u, result, err := x.g.send(ctx, server, x.r, f, permitUntil)
+		u, result, err := x.send(ctx, server, f, permitUntil)
 		if !errors.Is(err, errPermitEnded) || try == maxPermitTries {
 			return u, result, err
 		}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -44,7 +44,7 @@
 	f.Reservation, x.reservation = reservation, reservation
 	x.sentAt = time.Now()
 	x.late = x.watchLate(server)
-	u, result, err := x.g.send(ctx, server, x.r, f, x.permitUntil)
+	u, result, err := x.send(ctx, server, f, x.permitUntil)
 	x.withheld = errors.Is(err, errEvacuated) || errors.Is(err, errPermitEnded)
 	cause := crossingCall
 	if x.route.Kind == desired.Stream {
@@ -63,6 +63,18 @@
 	return server, u, result, err
 }
 
+// send sends the request to a server and waits for the head of the response.
+func (x *exchange) send(ctx context.Context, server backend.Server, f ForwardMetadata, permitUntil time.Duration) (
+	*upstream, dispatch.Result, error) {
+	// The service may be declared otherwise by the end of the response.
+	watched := x.g.hasAgent(x.service, server)
+	u, result, err := x.g.send(ctx, server, x.r, f, permitUntil)
+	if u != nil {
+		u.watched = watched
+	}
+	return u, result, err
+}
+
 // noEventID is the last event id of a stream that has not sent an event.
 const noEventID = "0"
 
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -51,7 +51,7 @@
 // confirmEnd returns nil if a stream that ended at the end of its response is complete. Where the end of the
 // connection marks the end of the body, the agent beside the server has to confirm it.
 func (x *exchange) confirmEnd(ctx context.Context, u *upstream, events *eventReader) error {
-	if u.framing() != framingClose || !x.g.hasAgent(x.service, u.server) {
+	if u.framing() != framingClose || !u.watched && !x.g.hasAgent(x.service, u.server) {
 		return nil
 	}
 	cancelCrashCheck := x.newCrashCheck(ctx, u.server).runAfter(unconfirmedCrashDelay)
--- a/gateway/streamend_test.go
+++ b/gateway/streamend_test.go
@@ -179,3 +179,42 @@
 		t.Error("the crash was not reported")
 	}
 }
+
+// Guards against a stopped stream that looks complete because its service is removed, or no longer declares an
+// engine, while the stream runs.
+func TestAgentIsAskedAlthoughTheServiceChanged(t *testing.T) {
+	for name, services := range map[string][]desired.Service{"removed": nil, "no engine": {{Name: "s"}}} {
+		t.Run(name, func(t *testing.T) {
+			started, changed := make(chan struct{}), make(chan struct{})
+			server := newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nT-Id: "+r.Header.Get("T-Id")+"\r\nT-Seal: s\r\n\r\n"+events(1, 3))
+				close(started)
+				<-changed
+			})
+			locator := &endLocator{verdict: streamend.Stopped, locatorFunc: func(backend.Server, string) (string, string, error) {
+				return "", "", errors.New("not found")
+			}}
+			h := newHarness(t, locator, server)
+			h.declareEngine()
+			go func() {
+				defer close(changed)
+				<-started
+				time.Sleep(100 * time.Millisecond)
+				h.fleet.set(func(f *testFleet) {
+					state, view := *f.view.Table.State, *f.view
+					state.Services = services
+					view.Table = desired.NewTable(&state)
+					f.view = &view
+				})
+			}()
+			if status, _, body, err := h.call("/stream/x"); err == nil {
+				t.Errorf("status %d and %d bytes count as complete, asked %d times", status, len(body), locator.asked.Load())
+			}
+		})
+	}
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -42,6 +42,8 @@
 	conn     net.Conn
 	limited  *io.LimitedReader
 	response *http.Response
+	// watched is set if an agent ran beside the server when the request was sent.
+	watched  bool
 	metadata ResponseMetadata
 	stop     func() bool
 	// crossing counts the bytes of the body by crossingCause, nil if the server is in the
