Take no number of tokens for evidence of an end

Found in review: a stream whose end was unknown counted as complete once the declared maximum of tokens had arrived, assuming that each event holds as many tokens as the engine declares.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,8 +28,7 @@
 	pending []byte
 	// lastID is the id of the last event returned by next.
 	lastID string
-	// count is the number of events, and identified that of those with an id.
-	count, identified int
+	count  int
 }
 
 // next returns the bytes of one or more complete events. At the end of the stream it
@@ -67,15 +66,11 @@
 			continue
 		}
 		e.count++
-		hasID := false
 		for _, line := range strings.Split(event, "\n") {
 			if id, ok := strings.CutPrefix(line, "id:"); ok {
-				e.lastID, hasID = strings.TrimSpace(id), true
+				e.lastID = strings.TrimSpace(id)
 			}
 		}
-		if hasID {
-			e.identified++
-		}
 	}
 }
 
@@ -142,8 +137,7 @@
 		u.close()
 		defer next.close()
 		u = next
-		events = &eventReader{in: u.response.Body, buffers: &x.buffers, lastID: events.lastID, count: events.count,
-			identified: events.identified}
+		events = &eventReader{in: u.response.Body, buffers: &x.buffers, lastID: events.lastID, count: events.count}
 	}
 }
 
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -59,9 +59,6 @@
 	if verdict != streamend.Unknown {
 		cancelCrashCheck()
 	}
-	if verdict == streamend.Unknown && x.hasAllTokens(events) {
-		verdict, reason = streamend.Ended, "the declared maximum of tokens arrived"
-	}
 	x.g.metrics.streamEndVerdicts.Add(verdict.String(), 1)
 	x.logger.Info("end of a stream without framing", zap.String("backend_server", u.server.ID), zap.Int("events", events.count),
 		zap.Stringer("verdict", verdict), zap.String("reason", reason))
@@ -90,11 +87,6 @@
 	}
 }
 
-// hasAllTokens reports whether as many tokens arrived as the request allows.
-func (x *exchange) hasAllTokens(events *eventReader) bool {
-	return x.metadata.MaxTokens > 0 && events.identified*x.eventTokens() >= x.metadata.MaxTokens
-}
-
 // hasAgent reports whether an agent runs beside a server, as beside all engines.
 func (g *Gateway) hasAgent(service string, server backend.Server) bool {
 	if g.options.Locator == nil {
