--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -196,7 +196,8 @@
 	}
 	x.g.metrics.streamEnds.Add(u.framing(), 1)
 	x.logger.Info(message, zap.String("backend_server", u.server.ID), zap.String("route", x.route.Name),
-		zap.String("framing", u.framing()), zap.String("last_event_id", events.lastID), zap.Int("events", events.count), zap.Int("expected_tokens", x.expectedTokens),
+		zap.String("framing", u.framing()), zap.String("last_event_id", events.lastID),
+		zap.Int("events", events.count), zap.Int("expected_tokens", x.expectedTokens),
 		zap.Int("hint_tokens", x.metadata.boundedHint()), zap.Int("resumes", resumes),
 		zap.Duration("first_event_seconds", timing.firstEvent),
 		zap.Duration("longest_pause_seconds", timing.longestPause))
