Test that a stop outlives the state of its move

A caller that reads slowly lets the entry see the end of its stream later than the ten seconds for which states of moves are kept. The stop was kept by number before; nothing tested it.

--- a/evacuate/streamend_test.go
+++ b/evacuate/streamend_test.go
@@ -246,3 +246,32 @@
 		t.Errorf("%v, %q, %v, %d last moves", verdict, reason, err, len(stops))
 	}
 }
+
+// Guards against a stop that is forgotten with the state of its move, before a caller that reads slowly lets the entry
+// see the end of the stream.
+func TestStopOutlivesTheStateOfItsMove(t *testing.T) {
+	engine := &testEngine{status: leavingStatus(), copied: map[string]int{}}
+	agent, locator := newAgent(t, engine)
+	sent := time.Now()
+	waitForMove(t, locator, "r1")
+	agent.mu.Lock()
+	agent.moves["r1"].started = time.Now().Add(-2 * moveRetention)
+	agent.mu.Unlock()
+	engine.setStatus(Status{})
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		agent.mu.Lock()
+		forgotten := agent.moves["r1"] == nil
+		agent.mu.Unlock()
+		if forgotten {
+			break
+		}
+	}
+	if _, _, err := locator.Locate(context.Background(), backend.Server{Address: "self"}, "r1"); !errors.Is(err, ErrNotRunning) {
+		t.Fatalf("the state of the move is kept: %v", err)
+	}
+	verdict, reason, err := locator.StreamEnd(context.Background(), backend.Server{Address: "self"},
+		gateway.StreamEnd{ID: "r1", SentAgo: time.Since(sent), Events: 3})
+	if err != nil || verdict != streamend.Stopped {
+		t.Errorf("%v, %q, %v", verdict, reason, err)
+	}
+}
