Take no load without a counter for a restart of the server

Found in review: an engine's load report without 'requests' counted as one of 0 requests, which is less than before, so its agent took the engine for restarted: models were ordered again, and streams that broke soon counted as crashes. A report without a counter tells nothing of restarts now.

--- a/agent/crash.go
+++ b/agent/crash.go
@@ -187,12 +187,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	reset := load.Requests < d.lastRequests
+	reset := load.Requests != nil && *load.Requests < d.lastRequests
 	if reset {
 		d.resetAt = now
 	}
 	restarted = reset || d.unreachable
-	d.lastRequests, d.unreachable = load.Requests, false
+	d.unreachable = false
+	if load.Requests != nil {
+		d.lastRequests = *load.Requests
+	}
 	return restarted, now.Sub(d.resetAt) < counterResetWindow
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -71,9 +71,9 @@
 	TotalBlocks int `json:"total_blocks"`
 	BlockTokens int `json:"block_tokens"`
 	Preemptions int `json:"preemptions"`
-	// Requests counts the requests since the engine started. If it decreases, the
-	// engine has restarted.
-	Requests int `json:"requests"`
+	// Requests counts the requests since the engine started, nil if it does not tell. If it
+	// decreases, the engine has restarted.
+	Requests *int `json:"requests"`
 }
 
 // CacheEvent reports that a prompt prefix was added to an engine's cache, or
--- a/engine/standin/batch.go
+++ b/engine/standin/batch.go
@@ -230,9 +230,10 @@
 
 // recordLoad records a load sample.
 func (b *batch) recordLoad(now time.Time, running, waiting, free int) {
+	requests := int(b.arrivals)
 	load := engine.Load{
 		Running: running, Waiting: waiting, FreeBlocks: free, TotalBlocks: b.options.MemoryBlocks,
-		BlockTokens: b.options.BlockTokens, Preemptions: b.preemptions, Requests: int(b.arrivals),
+		BlockTokens: b.options.BlockTokens, Preemptions: b.preemptions, Requests: &requests,
 	}
 	b.loadSamples = append(b.loadSamples, loadSample{now, load})
 	// Keep the newest sample that is at least LoadLag old and all later ones.
@@ -245,6 +246,7 @@
 	b.mu.Lock()
 	load := engine.Load{
 		FreeBlocks: b.options.MemoryBlocks, TotalBlocks: b.options.MemoryBlocks, BlockTokens: b.options.BlockTokens,
+		Requests: new(int),
 	}
 	if len(b.loadSamples) > 0 {
 		load = b.loadSamples[0].load
