Explain how the stream of a request ended

arbutusctl explain showed the lines of a request, but named neither a last move nor the verdict on the end of a stream without framing among what decided the outcome.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -184,6 +184,14 @@
 				l.Host, l.Get("destination"), l.Get("left_seconds"), moveError)
 		}
 		return fmt.Sprintf("%s moved the generation to %s", l.Host, l.Get("destination"))
+	case "last move ordered":
+		return fmt.Sprintf("%s ordered the server to stop the generation and move it to %s", l.Host, l.Get("destination"))
+	case "end of a stream without framing":
+		if verdict := l.Get("verdict"); verdict != "ended" {
+			return fmt.Sprintf("%s closed the connection after %s events, which is no confirmed end (%s): %s",
+				l.Get("backend_server"), l.Get("events"), verdict, l.Get("reason"))
+		}
+		return fmt.Sprintf("%s ended the stream by itself after %s events", l.Get("backend_server"), l.Get("events"))
 	case "no destination for a generation":
 		return fmt.Sprintf("%s found no server with %s free tokens for the generation; the most was %s of %s servers",
 			l.Host, l.Get("tokens"), l.Get("most_free_tokens"), l.Get("destinations"))
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -13,13 +13,17 @@
 {"level":"info","time":"2026-02-15T18:41:42.0Z","msg":"notice of the backend server changed","host":"side-2","role":"agent","leaving":true,"leaves_in_seconds":1.8,"runs":1}
 {"level":"info","time":"2026-02-15T18:41:20.0Z","msg":"draining","host":"front-1","role":"entry"}
 {"level":"info","time":"2026-02-15T18:41:42.0Z","msg":"request not served","host":"front-1","role":"entry","request_id":"b","status":503,"reason":"overloaded","detail":"no backend server took the request"}
+{"level":"info","time":"2026-02-15T18:43:41.0Z","msg":"last move ordered","host":"side-4","role":"agent","request_id":"d","destination":"10.0.0.3:1"}
+{"level":"info","time":"2026-02-15T18:43:41.1Z","msg":"end of a stream without framing","host":"front-4","role":"entry","request_id":"d","backend_server":"i-4","events":39,"verdict":"stopped","reason":"a stop was ordered"}
+{"level":"info","time":"2026-02-15T18:45:41.1Z","msg":"end of a stream without framing","host":"front-5","role":"entry","request_id":"e","backend_server":"i-5","events":40,"verdict":"ended","reason":"the server lives on without it"}
+{"level":"info","time":"2026-02-15T18:47:41.1Z","msg":"end of a stream without framing","host":"front-5","role":"entry","request_id":"f","backend_server":"i-5","events":12,"verdict":"unknown","reason":"the server was not seen since"}
 `
 
 // TestExplain guards against reports that mix requests, hosts or times, or that
 // omit the failed move that caused a truncated response.
 func TestExplain(t *testing.T) {
 	lines, skipped, err := Read(strings.NewReader(logs))
-	if err != nil || skipped != 1 || len(lines) != 7 {
+	if err != nil || skipped != 1 || len(lines) != 11 {
 		t.Fatalf("%d lines, %d skipped, %v", len(lines), skipped, err)
 	}
 	for _, c := range []struct {
@@ -32,6 +36,10 @@
 			"i-1 broke the stream off after event 46 (unexpected EOF); it did not go on elsewhere"}},
 		{"b", 1, []string{"front-1 answered 503 itself (overloaded): no backend server took the request"}},
 		{"c", 0, nil},
+		{"d", 2, []string{"side-4 ordered the server to stop the generation and move it to 10.0.0.3:1",
+			"i-4 closed the connection after 39 events, which is no confirmed end (stopped): a stop was ordered"}},
+		{"e", 1, []string{"i-5 ended the stream by itself after 40 events"}},
+		{"f", 1, []string{"i-5 closed the connection after 12 events, which is no confirmed end (unknown): the server was not seen since"}},
 	} {
 		r := Explain(lines, c.request)
 		if len(r.Lines) != c.lines || len(r.Causes) != len(c.want) {
