Take no end of a connection for the end of an answer while the request is being written

What callers saw: a server answered a long upload at once, without a length or chunks, sent a part of the body and broke the connection while the entry was still writing the request. The caller got the part as a complete answer.

Cause: the kernel reports a broken connection once, to the first call that asks. The write took the error (ECONNRESET, or ETIMEDOUT of the user timeout where the server stalled); the read after it found the part and then an ordinary end. send dropped the error of the write once it had the head of an answer, because early answers are allowed.

Ruled out: a read side that judges alone, since nothing of the break is left to read; the agent's word on a stream's end, since a server that resets the connection may drop the generation, as at its end; refusing all early answers, since a 413 with a length or in chunks states its end itself.

Change: a body that only the close ends fails at its end with the error of the write, if there was one. Such an attempt is lost: it may have run, and is retried or resumed as its route says, whatever its status.

--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -16,6 +16,7 @@
 	"arbutusmast.example/arbutusmast/core/dispatch"
 	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/fleet"
+	"arbutusmast.example/arbutusmast/httpclient"
 	"arbutusmast.example/arbutusmast/observe"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
@@ -80,12 +81,12 @@
 // framing returns how the end of the response body is marked.
 func (u *upstream) framing() string {
 	switch {
+	case httpclient.EndsWithConnection(u.response):
+		return framingClose
 	case len(u.response.TransferEncoding) > 0:
 		return framingChunks
-	case u.response.ContentLength >= 0 || u.response.Body == http.NoBody:
-		return framingLength
 	}
-	return framingClose
+	return framingLength
 }
 
 // close ends the request. The server sees the disconnect and can cancel the work.
@@ -151,19 +152,17 @@
 		return nil, dispatch.NotSent, err
 	}
 	message := append(net.Buffers{g.encodeHead(r, f)}, r.body.segments...)
-	if _, err := message.WriteTo(conn); err != nil {
-		// A server may respond and close before it has read a long body.
-		if result, readErr := g.readResponse(u, r); readErr == nil {
-			return u, result, nil
-		}
-		u.close()
-		return nil, dispatch.Lost, errors.Wrap(err, "send")
-	}
+	_, writeErr := message.WriteTo(conn)
+	// A server may respond and close before it has read a long body.
 	result, err := g.readResponse(u, r)
 	if err != nil {
 		u.close()
+		if writeErr != nil {
+			return nil, dispatch.Lost, errors.Wrap(writeErr, "send")
+		}
 		return nil, result, err
 	}
+	httpclient.RequireWrittenRequest(u.response, func() error { return writeErr })
 	return u, result, nil
 }
 
