Read no early answer on the INI path as whole if its request was not written in full

What callers saw: a plain service answered a long upload at once, without a length or chunks, and broke the connection. The caller of the INI path got the part as the answer of the service. The same parts counted as outcomes of generations, cancellations and orders; a part of a 503 counted as a proof that a generation did not run.

Cause: http.Transport writes and reads in two goroutines. Whichever asks the kernel first takes the error of the connection; if it is the writer, the reader finds an ordinary end. The transport drops the error of a write once it has the head of an answer. Besides, Generate and OrderGuarded ignored errors of the body of an answer other than 200.

Ruled out: httptrace.WroteRequest. It is called before the last bytes are flushed, so it reports no error of theirs.

Change: httpclient.Transport, which opens a connection for each request as the client did before, writes the request in a goroutine of its own, and waits for the result of the write before it takes the end of a connection for the end of a body. The end of the context ends this wait. Generate and OrderGuarded return ErrConnectionLost, after which the request may have run, if the body breaks.

--- a/engine/client.go
+++ b/engine/client.go
@@ -14,6 +14,7 @@
 
 	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/httpclient"
 	"github.com/pkg/errors"
 )
 
@@ -48,20 +49,18 @@
 // following one would run the call again.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, errors.Wrap(ErrUnreachable, err.Error())
-			}
-			return conn, nil
-		},
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeadBytes,
+func newTransport() *httpclient.Transport {
+	return &httpclient.Transport{Dial: dial, MaxHeadBytes: maxHeadBytes}
+}
+
+// dial opens a connection to a backend server.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
+	return conn, nil
 }
 
 // generateOptions holds the fields that are added to the caller's JSON.
@@ -95,7 +94,10 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
+		text, err := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
+		if err != nil {
+			return nil, errors.Wrap(ErrConnectionLost, err.Error())
+		}
 		return nil, errors.Wrapf(statusError(resp.StatusCode),
 			"status %d: %s", resp.StatusCode, strings.TrimSpace(string(text)))
 	}
@@ -346,6 +348,6 @@
 	if len(body) > maxForwardBodyBytes {
 		return Response{}, errors.Wrap(ErrConnectionLost, "answer is larger than the limit")
 	}
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: unframed}, nil
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body,
+		Unframed: httpclient.EndsWithConnection(resp)}, nil
 }
--- a/engine/order.go
+++ b/engine/order.go
@@ -27,16 +27,13 @@
 		return errors.Wrap(err, "encode order")
 	}
 	var blocked atomic.Bool
-	transport := &http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			dialer := net.Dialer{Timeout: dialTimeout}
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, errors.Wrap(ErrUnreachable, err.Error())
-			}
-			return &guardedConn{Conn: conn, guard: guard, blocked: &blocked}, nil
-		},
+	transport := newTransport()
+	transport.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &guardedConn{Conn: conn, guard: guard, blocked: &blocked}, nil
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/orders", bytes.NewReader(body))
 	if err != nil {
@@ -58,7 +55,10 @@
 		return err
 	}
 	defer resp.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
+	if err != nil {
+		return errors.Wrap(ErrConnectionLost, err.Error())
+	}
 	return controlError(resp.StatusCode, text)
 }
 
