Refuse a head with a field name that is no token

Orders, cancellations, moves, reservations, lists, burn reports and streams of the load tool with such heads counted too.

Cause: net/textproto takes a name that holds a blank as it stands. The line is then a field that nobody knows, and what it was to frame ends with the connection. Names with control bytes, bytes above 127, separators, no name or no colon are refused by it.

An entry checks what agents of earlier versions hand on, and what they recorded. Nothing in such a head counts: the attempt may have run, also if the head says that it did not, since the line with the fault may stand for anything.

--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/httpfield"
 	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/httpclient"
@@ -106,23 +107,27 @@
 	return &sseStream{requestID: r.ID, body: resp.Body, scanner: scanner}, nil
 }
 
-// send sends a request and returns the response, whose status is a final one of HTTP.
+// send sends a request and returns the response, whose head is valid.
 func (c *Client) send(req *http.Request) (*http.Response, error) {
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, transportError(err)
 	}
-	return resp, checkFinal(resp)
+	return resp, checkHead(resp)
 }
 
-// checkFinal closes a response without a final status of HTTP and returns an error. The body of 101 is the
-// connection, and reading it would outlast the context of the call.
-func checkFinal(resp *http.Response) error {
-	if httpstatus.IsFinal(resp.StatusCode) {
+// checkHead closes a response without a final status of HTTP, or with an invalid field name, and returns an
+// error.
+func checkHead(resp *http.Response) error {
+	err := httpfield.CheckNames(resp.Header)
+	if !httpstatus.IsFinal(resp.StatusCode) {
+		err = errors.Errorf("response with status %q, which is no final one of HTTP", resp.Status)
+	}
+	if err == nil {
 		return nil
 	}
 	_ = resp.Body.Close()
-	return errors.Wrapf(ErrFailed, "response with status %q, which is no final one of HTTP", resp.Status)
+	return errors.Wrap(ErrFailed, err.Error())
 }
 
 // generateBody merges the options of the request into the caller's JSON. It returns
--- a/engine/order.go
+++ b/engine/order.go
@@ -51,7 +51,7 @@
 		}
 		return errors.Wrap(ErrConnectionLost, err.Error())
 	}
-	if err := checkFinal(resp); err != nil {
+	if err := checkHead(resp); err != nil {
 		return err
 	}
 	defer resp.Body.Close()
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/verdict"
 	"go.uber.org/zap"
@@ -80,7 +79,7 @@
 
 // recordedReply returns the recorded response of a call that has already run.
 func recordedReply(r message.RecordedResponse) (*message.ForwardReply, *verdict.Error) {
-	if r.Truncated || !httpstatus.IsFinal(r.Status) {
+	if r.Truncated || checkHead(r.Status, r.HTTPHeader) != nil {
 		return nil, verdict.New(verdict.Ran, verdict.ReasonKeyUnknownEnd, "the call has run, and its answer is not kept")
 	}
 	return &message.ForwardReply{Verdict: verdict.Ran, Status: r.Status, HTTPHeader: r.HTTPHeader, Body: r.Body,
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -10,12 +10,14 @@
 
 	"arbutusmast.example/arbutusmast/core/attempt"
 	"arbutusmast.example/arbutusmast/core/contract"
+	"arbutusmast.example/arbutusmast/core/httpfield"
 	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/core/message"
 	"arbutusmast.example/arbutusmast/core/placement"
 	"arbutusmast.example/arbutusmast/core/quarantine"
 	"arbutusmast.example/arbutusmast/core/verdict"
 	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -199,12 +201,21 @@
 	if reply.Verdict != verdict.Ran {
 		return nil, reply.Refusal.Err()
 	}
-	if !httpstatus.IsFinal(reply.Status) {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "the service answered with status %d", reply.Status)
+	if err := checkHead(reply.Status, reply.HTTPHeader); err != nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "%v", err)
 	}
 	return &reply, nil
 }
 
+// checkHead returns an error if the head of a service's answer is invalid. Agents of earlier versions hand on and
+// record such answers.
+func checkHead(status int, header map[string][]string) error {
+	if !httpstatus.IsFinal(status) {
+		return errors.Errorf("the service answered with status %d", status)
+	}
+	return httpfield.CheckNames(header)
+}
+
 func writeForwardReply(w http.ResponseWriter, r *http.Request, id message.RequestID, reply *message.ForwardReply) {
 	for name, values := range reply.HTTPHeader {
 		if !isHopByHopHeader(name) {
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -31,3 +31,27 @@
 		}
 	}
 }
+
+// earlierAgentService is a plain service whose agent hands on an answer with an invalid field name.
+type earlierAgentService struct{ engine.Backend }
+
+func (earlierAgentService) Forward(context.Context, *message.ForwardRequest) (engine.Response, error) {
+	return engine.Response{Status: 200, Header: map[string][]string{"Content-Length ": {"1"}}, Body: []byte("{}")}, nil
+}
+
+// Guards against an answer with an invalid field name that an agent hands on, and against its repeat from the record
+// of its call.
+func TestNameOfFieldThatIsNoTokenFromAService(t *testing.T) {
+	tc := newTestCluster(t, clusterOptions{agent: agent.Options{Connect: func(b contract.BackendServer) engine.Backend {
+		return earlierAgentService{engine.NewClient(b.Address)}
+	}}})
+	if got, verdict, body := tc.call("GET", "/services/book-desk/slots", ""); got != 502 || verdict != "may_have_run" {
+		t.Errorf("the entry answers %d, %q, %q", got, verdict, body)
+	}
+	for _, want := range []int{502, 409} {
+		got, verdict, body := tc.call("POST", "/services/book-desk/swaps", "x", "Idempotency-Key", "k")
+		if got != want || verdict != "may_have_run" {
+			t.Errorf("the entry answers %d, %q, %q, want %d that may have run", got, verdict, body, want)
+		}
+	}
+}
--- a/entry/untilclose_test.go
+++ b/entry/untilclose_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/message"
+	"arbutusmast.example/arbutusmast/core/verdict"
 )
 
 // Guards against an answer without length or chunks that looks complete to the caller although the entry was
@@ -34,3 +35,11 @@
 		t.Errorf("%d bytes of %d ended in order", len(rest)+1000, size)
 	}
 }
+
+// Guards against a record of an earlier version, whose answer has an invalid field name, that is repeated.
+func TestRecordedAnswerWithInvalidFieldName(t *testing.T) {
+	r := message.RecordedResponse{Status: http.StatusOK, HTTPHeader: map[string][]string{"Content-Length ": {"1"}}}
+	if reply, failure := recordedReply(r); failure == nil || failure.Verdict != verdict.Ran {
+		t.Errorf("%+v, %v", reply, failure)
+	}
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -14,6 +14,7 @@
 
 	"arbutusmast.example/arbutusmast/core/backend"
 	"arbutusmast.example/arbutusmast/core/dispatch"
+	"arbutusmast.example/arbutusmast/core/httpfield"
 	"arbutusmast.example/arbutusmast/core/httpstatus"
 	"arbutusmast.example/arbutusmast/fleet"
 	"arbutusmast.example/arbutusmast/httpclient"
@@ -195,6 +196,9 @@
 		if response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK {
 			continue
 		}
+		if err := httpfield.CheckNames(response.Header); err != nil {
+			return dispatch.Lost, err
+		}
 		u.response = response
 		break
 	}
--- a/measure/capacity/caller.go
+++ b/measure/capacity/caller.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"arbutusmast.example/arbutusmast/core/httpfield"
 	"arbutusmast.example/arbutusmast/wire"
 	"github.com/pkg/errors"
 )
@@ -43,6 +44,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read response")
 	}
+	if err := httpfield.CheckNames(response.Header); err != nil {
+		return errors.Wrap(err, "read response")
+	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return errors.Wrap(err, "read response")
--- a/operator/burn.go
+++ b/operator/burn.go
@@ -10,6 +10,7 @@
 
 	"arbutusmast.example/arbutusmast/burnreport"
 	"arbutusmast.example/arbutusmast/core/burn"
+	"arbutusmast.example/arbutusmast/core/httpfield"
 	"github.com/pkg/errors"
 )
 
@@ -133,6 +134,9 @@
 		return none, errors.Wrap(err, "fetch burn report")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := httpfield.CheckNames(response.Header); err != nil {
+		return none, errors.Wrapf(err, "fetch burn report from %s", address)
+	}
 	if response.StatusCode != http.StatusOK {
 		return none, errors.Errorf("fetch burn report: %s answered %s", address, response.Status)
 	}
--- a/operator/loadstream.go
+++ b/operator/loadstream.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"arbutusmast.example/arbutusmast/core/httpfield"
 )
 
 // maxEventBytes bounds the length of a line of a stream and of the body of a
@@ -19,7 +21,7 @@
 type requestStats struct {
 	complete bool
 	cutOff   bool
-	// refused is set if the entry answers without a stream or cannot be reached.
+	// refused is set if the entry answers without a valid stream or cannot be reached.
 	// Without a stream there is no stall, so the stall time is not recorded.
 	refused    bool
 	failure    string
@@ -53,6 +55,10 @@
 		return stats
 	}
 	defer func() { _ = response.Body.Close() }()
+	if httpfield.CheckNames(response.Header) != nil {
+		stats.failure, stats.refused = "invalid_response", true
+		return stats
+	}
 	if response.StatusCode != http.StatusOK {
 		stats.readRefusal(response)
 		return stats
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -446,3 +446,37 @@
 		t.Errorf("only %d commands were found", checked)
 	}
 }
+
+// TestNameOfFieldThatIsNoToken guards against a response whose head may not be what the entry sent and that counts as a
+// report or as a complete stream.
+func TestNameOfFieldThatIsNoToken(t *testing.T) {
+	c := burnreport.NewCollector("entry-1", nil)
+	c.SetObjectives([]contract.Objective{{Name: "complete", Service: "s", Kind: contract.ObjectiveWhole, Target: 0.99}})
+	report := httptest.NewRecorder()
+	c.ServeHTTP(report, httptest.NewRequest(http.MethodGet, "/burn?format=snapshot", nil))
+	for _, line := range []string{"Content-Length : 4", "Transfer-Encoding : chunked", "X Odd: 1"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			body := "id: s:0\ndata: {\"choices\":[{\"text\":\"x\"}]}\n\ndata: [DONE]\n\n"
+			if r.Method == http.MethodGet {
+				body = report.Body.String()
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n"+body)
+			_ = conn.Close()
+		}))
+		t.Cleanup(server.Close)
+		address := server.Listener.Addr().String()
+		app, stdout, stderr := newTestApp(map[string]string{EnvCallerKey: "team"})
+		if code := app.Run(t.Context(), []string{"burn", "-ops", address}); code != ExitFailure {
+			t.Errorf("%s: burn: exit code %d\n%s%s", line, code, stdout, stderr)
+		}
+		app, stdout, stderr = newTestApp(map[string]string{EnvCallerKey: "team"})
+		if code := app.Run(t.Context(), []string{"load", "-entry", address, "-model", "m", "-duration", "100ms", "-concurrency", "1",
+			"-json"}); code != ExitFailure || !strings.Contains(stdout.String(), `"invalid_response": `) {
+			t.Errorf("%s: load: exit code %d\n%s%s", line, code, stdout, stderr)
+		}
+	}
+}
