Continue a moved stream after the last event that its caller has

What callers saw: a caller resumed a stream with Last-Event-Id: 22.

Cause: the gateway knew only the ids of events that it had forwarded itself. Before the first one, attempt asked the next server to go on after "0", and forwardStream after "" if the head had come; both replaced the caller's header.

Change: streamPosition says where the caller stands: the header values of its request, then the id of the last event that was forwarded. Requests for the rest of a stream, questions for its end and logs read it. "0" is written by the platform's dialect only, for a caller that sent no header. An event with an empty id no longer moves the position back to the begin.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -191,7 +191,7 @@
 const maxPermitTries = 3
 
 // sendResumed sends a request that continues a generation at a copy, when the server may get it.
-func (x *exchange) sendResumed(ctx context.Context, server backend.Server, copyName, lastEventID string) (
+func (x *exchange) sendResumed(ctx context.Context, server backend.Server, copyName string) (
 	*upstream, dispatch.Result, error) {
 	for try := 1; ; try++ {
 		permitUntil, err := x.permitResume(ctx, server)
@@ -199,7 +199,7 @@
 			return nil, dispatch.NotSent, err
 		}
 		f := x.forwardMetadata(server)
-		f.Copy, f.LastEventID, f.Priority = copyName, lastEventID, resumedPriority
+		f.Copy, f.LastEventID, f.Priority = copyName, x.position.lastEventID, resumedPriority
 		u, result, err := x.send(ctx, server, f, permitUntil)
 		if !errors.Is(err, errPermitEnded) || try == maxPermitTries {
 			return u, result, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,9 @@
 	// Parts are the IDs of the shared parts of the prompt, outermost first, without the
 	// last part, which belongs to the request itself.
 	Parts []string
+	// LastEventID holds the values by which a caller that resumes a stream names the last
+	// event that it has, unchanged.
+	LastEventID []string
 }
 
 // ForwardMetadata holds what the gateway tells a backend server about a request.
@@ -60,10 +63,12 @@
 	Priority int
 	// Reservation identifies the memory reserved for the request.
 	Reservation string
-	// Copy and LastEventID are set when a generation resumes at another server:
-	// the name of the copy of its memory and the last event that the caller got.
-	Copy        string
-	LastEventID string
+	// Copy is the name of the copy of a generation's memory, empty unless the generation
+	// resumes at another server.
+	Copy string
+	// LastEventID holds the values that name the last event that the caller has, where Copy
+	// is set. It is empty for a caller without any event.
+	LastEventID []string
 }
 
 // ResponseMetadata holds what the headers of a backend server's response say.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -66,7 +66,7 @@
 	ms, _ := strconv.Atoi(h.Get("T-Budget"))
 	hint, _ := strconv.Atoi(h.Get("T-Hint"))
 	return RequestMetadata{ID: h.Get("T-Id"), Key: h.Get("T-Key"), Timeout: time.Duration(ms) * time.Millisecond,
-		LengthHint: hint}
+		LengthHint: hint, LastEventID: h.Values("T-Last")}
 }
 func (testDialect) WriteForward(h http.Header, f ForwardMetadata) {
 	h.Del("T-Key")
@@ -74,7 +74,9 @@
 	h.Set("T-Server", f.ServerID)
 	h.Set("T-Caller", f.Caller)
 	h.Set("T-Copy", f.Copy)
-	h.Set("T-Last", f.LastEventID)
+	if f.Copy != "" {
+		h["T-Last"] = f.LastEventID
+	}
 }
 func (testDialect) ReadResponse(_ int, h http.Header) ResponseMetadata {
 	return ResponseMetadata{ID: h.Get("T-Id"), Sealed: h.Get("T-Seal") != "", NotRun: h.Get("T-Not-Run") != "",
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -71,6 +71,8 @@
 	begun bool
 	// room is the memory at the service that is counted for a generation.
 	room roomUse
+	// position is the place up to which the caller has the stream.
+	position streamPosition
 	// buffers is the memory that the response holds.
 	buffers budgetShare
 	logger  *zap.Logger
@@ -85,6 +87,7 @@
 		buffers: budgetShare{budget: g.memory}}
 	defer x.buffers.release()
 	defer x.releaseRoom()
+	x.position.lastEventID = x.metadata.LastEventID
 	x.logger = g.logger.With(zap.String("request_id", x.metadata.ID))
 	if !x.admit() || x.refuseQuarantined() {
 		return
--- /dev/null
+++ b/gateway/movedstream_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"arbutusmast.example/arbutusmast/core/backend"
+	"github.com/pkg/errors"
+)
+
+// movedStreamEvents is the number of events of a generation that is moved.
+const movedStreamEvents = 60
+
+// movedAt is the moment at which a generation is moved away from a server.
+type movedAt int
+
+const (
+	notMoved movedAt = iota
+	beforeHead
+	afterHead
+	// afterEvents follows movedEvents events.
+	afterEvents
+)
+
+// movedEvents is the number of events that a server sends before the generation is moved.
+const movedEvents = 8
+
+// movedStream is a generation at servers that each get it from the one before.
+type movedStream struct {
+	*harness
+	mu sync.Mutex
+	// lastEventIDs are the header values that the servers received.
+	lastEventIDs [][]string
+}
+
+// newMovedStream starts a server for each of moves.
+func newMovedStream(t *testing.T, moves ...movedAt) *movedStream {
+	m := &movedStream{}
+	var servers []*testServer
+	for _, moved := range moves {
+		servers = append(servers, newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+			m.mu.Lock()
+			m.lastEventIDs = append(m.lastEventIDs, r.Header.Values("T-Last"))
+			m.mu.Unlock()
+			m.serve(w, r, moved)
+		}))
+	}
+	m.harness = newHarness(t, locatorFunc(func(from backend.Server, _ string) (string, string, error) {
+		for i, server := range servers[:len(servers)-1] {
+			if server.address == from.Address && moves[i] != notMoved {
+				return servers[i+1].address, "copy", nil
+			}
+		}
+		return "", "", errors.New("not found")
+	}), servers...)
+	m.fleet.set(func(f *testFleet) {
+		next := *f.view
+		next.Servers = slices.Clone(next.Servers)
+		for i := range next.Servers[1:] {
+			next.Servers[1+i].Leaving = true
+		}
+		f.view = &next
+	})
+	return m
+}
+
+// serve sends the events after the last one that the request names.
+func (m *movedStream) serve(w http.ResponseWriter, r *http.Request, moved movedAt) {
+	first, _ := strconv.Atoi(r.Header.Get("T-Last"))
+	first++
+	switch moved {
+	case notMoved:
+		_, _ = io.WriteString(w, events(first, movedStreamEvents))
+		return
+	case afterEvents:
+		_, _ = io.WriteString(w, events(first, first+movedEvents-1))
+		fallthrough
+	case afterHead:
+		_ = http.NewResponseController(w).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// read requests the stream with values of the header that names the last event.
+func (m *movedStream) read(lastEventID ...string) (status int, body string, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+m.address+"/stream/x", strings.NewReader("data"))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	request.Host = "h.example"
+	request.Header.Set("T-Id", "id-1")
+	request.Header.Set("T-Key", "key")
+	request.Header["T-Last"] = lastEventID
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
+
+// Guards against events that a caller gets again, or never, because the server to which its resumed stream is moved is
+// not told the last event that the caller has.
+func TestMovedStreamContinuesAfterTheLastEventOfItsCaller(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		named []string
+		moved movedAt
+		// first is the first event that the caller has to get.
+		first int
+	}{
+		{"resumed, moved before the head", []string{"22"}, beforeHead, 23},
+		{"resumed, moved before the first event", []string{"22"}, afterHead, 23},
+		{"resumed, moved after some events", []string{"22"}, afterEvents, 23},
+		{"from the beginning, moved before the head", nil, beforeHead, 1},
+		{"from the beginning, moved before the first event", nil, afterHead, 1},
+		{"from the beginning, moved after some events", nil, afterEvents, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMovedStream(t, c.moved, notMoved)
+			status, body, err := m.read(c.named...)
+			if want := events(c.first, movedStreamEvents); status != http.StatusOK || err != nil || body != want {
+				t.Errorf("status %d, %v, events %s, want %d to %d", status, err, eventNumbers(body), c.first, movedStreamEvents)
+			}
+			if len(m.lastEventIDs) != 2 || !slices.Equal(m.lastEventIDs[0], c.named) {
+				t.Errorf("the servers got the last event ids %q", m.lastEventIDs)
+			}
+		})
+	}
+}
+
+// Guards against a server that gets another last event id than the server before it, which got the caller's as it came.
+func TestLastEventIDOfTheCallerIsPassedOnAsItCame(t *testing.T) {
+	for _, named := range [][]string{nil, {""}, {"0"}, {"22", "23"}, {"22, 23"}, {"2 2"}, {"abc"}, {"-1"}} {
+		for _, moved := range []movedAt{beforeHead, afterHead} {
+			m := newMovedStream(t, moved, notMoved)
+			if status, _, err := m.read(named...); status != http.StatusOK || err != nil {
+				t.Errorf("%q: status %d, %v", named, status, err)
+			}
+			if got := m.lastEventIDs; len(got) != 2 || !slices.Equal(got[0], named) || !slices.Equal(got[1], named) {
+				t.Errorf("the servers got the last event ids %q, the caller sent %q", got, named)
+			}
+		}
+	}
+}
+
+// eventNumbers returns the ids of the events in body.
+func eventNumbers(body string) string {
+	var ids []string
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, strings.TrimSpace(id))
+		}
+	}
+	return strings.Join(ids, " ")
+}
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -256,7 +256,7 @@
 	held.LastCrash += time.Minute
 	h.publish(held)
 	x := &exchange{g: h.gateway, metadata: RequestMetadata{ID: "id-1", Parts: []string{"d"}}}
-	if _, err := x.resume(context.Background(), backend.Server{ID: "i-0", Address: source.address}, "3"); err == nil ||
+	if _, err := x.resume(context.Background(), backend.Server{ID: "i-0", Address: source.address}); err == nil ||
 		target.count.Load() > 0 {
 		t.Errorf("resumed: %v, %d arrivals", err, target.count.Load())
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -53,7 +53,7 @@
 	x.g.countCrossing(u, cause)
 	if result == dispatch.Lost && x.route.Kind == desired.Stream && x.g.options.Locator != nil && ctx.Err() == nil {
 		// The server may have moved the generation away before its first event.
-		next, resumeErr := x.resume(ctx, server, noEventID)
+		next, resumeErr := x.resume(ctx, server)
 		if resumeErr == nil {
 			x.g.metrics.streamsResumed.Add(1)
 			u.discard()
@@ -75,9 +75,6 @@
 	return u, result, err
 }
 
-// noEventID is the last event id of a stream that has not sent an event.
-const noEventID = "0"
-
 // maxReserveAttempts is the number of servers asked for memory before the next
 // delay.
 const maxReserveAttempts = 4
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"arbutusmast.example/arbutusmast/core/backend"
@@ -26,9 +25,6 @@
 	in      io.Reader
 	buffers *budgetShare
 	pending []byte
-	// lastID is the id of the last event returned by next.
-	lastID string
-	count  int
 }
 
 // next returns the bytes of one or more complete events. At the end of the stream it
@@ -41,7 +37,6 @@
 		if end := bytes.LastIndex(e.pending, eventDelimiter); end >= 0 {
 			complete := append([]byte(nil), e.pending[:end+len(eventDelimiter)]...)
 			e.pending = append(e.pending[:0], e.pending[end+len(eventDelimiter):]...)
-			e.scan(complete)
 			return complete, nil
 		}
 		if len(e.pending) > maxEventBytes {
@@ -59,21 +54,6 @@
 	}
 }
 
-// scan counts the events and remembers the id of the last one.
-func (e *eventReader) scan(events []byte) {
-	for _, event := range strings.Split(string(events), "\n\n") {
-		if event == "" {
-			continue
-		}
-		e.count++
-		for _, line := range strings.Split(event, "\n") {
-			if id, ok := strings.CutPrefix(line, "id:"); ok {
-				e.lastID = strings.TrimSpace(id)
-			}
-		}
-	}
-}
-
 // maxResumes bounds how often a generation resumes at another server.
 const maxResumes = 8
 
@@ -90,11 +70,11 @@
 		x.callerGone(err)
 		return
 	}
-	events, timing := &eventReader{in: u.response.Body, buffers: &x.buffers}, eventTiming{lastEvent: x.r.arrived}
+	timing := eventTiming{lastEvent: x.r.arrived}
 	for resumes := 0; ; resumes++ {
-		sent, err := x.forwardEvents(u, events, &timing)
+		sent, err := x.forwardEvents(u, &timing)
 		if sent && errors.Is(err, io.EOF) {
-			if unconfirmed := x.confirmEnd(ctx, u, events); unconfirmed != nil {
+			if unconfirmed := x.confirmEnd(ctx, u); unconfirmed != nil {
 				err = unconfirmed
 			}
 		}
@@ -107,8 +87,8 @@
 			x.reportResult(u.server.ID, placement.Completed)
 			x.observe(u.server, false)
 			x.clearSuspicion()
-			x.observeLength(events.count, &timing)
-			x.logEnd(u, events, &timing, resumes)
+			x.observeLength(&timing)
+			x.logEnd(u, &timing, resumes)
 			if err := x.w.finish(); err != nil {
 				x.callerGone(err)
 			}
@@ -116,9 +96,9 @@
 		}
 		next, resumeErr := (*upstream)(nil), errors.New("the generation was resumed too often")
 		if resumes < maxResumes {
-			next, resumeErr = x.resume(ctx, u.server, events.lastID)
+			next, resumeErr = x.resume(ctx, u.server)
 		}
-		x.logBroken(ctx, u, events, err, resumeErr)
+		x.logBroken(ctx, u, err, resumeErr)
 		if resumeErr != nil && ctx.Err() == nil && !isUnconfirmedEnd(err) {
 			x.reportResult(u.server.ID, placement.Failed)
 			x.observe(u.server, true)
@@ -137,7 +117,6 @@
 		u.close()
 		defer next.close()
 		u = next
-		events = &eventReader{in: u.response.Body, buffers: &x.buffers, lastID: events.lastID, count: events.count}
 	}
 }
 
@@ -164,8 +143,8 @@
 
 // observeLength records the length of a complete output and how long it took. Without a
 // declared number of tokens per event, the length in tokens is unknown and not recorded.
-func (x *exchange) observeLength(events int, timing *eventTiming) {
-	eventTokens := x.eventTokens()
+func (x *exchange) observeLength(timing *eventTiming) {
+	events, eventTokens := x.position.events, x.eventTokens()
 	if eventTokens > 0 {
 		x.g.lengths.observe(x.route.Name, x.metadata, events*eventTokens)
 	}
@@ -187,7 +166,7 @@
 
 // logEnd logs a complete response. Late responses have a log message of their own,
 // so that log sampling, which counts by message, does not drop them.
-func (x *exchange) logEnd(u *upstream, events *eventReader, timing *eventTiming, resumes int) {
+func (x *exchange) logEnd(u *upstream, timing *eventTiming, resumes int) {
 	message := "stream ended"
 	if x.route.Objective > 0 && timing.firstEvent > x.route.Objective ||
 		x.route.MaxGap > 0 && timing.longestPause > x.route.MaxGap {
@@ -196,8 +175,8 @@
 	}
 	x.g.metrics.streamEnds.Add(u.framing(), 1)
 	x.logger.Info(message, zap.String("backend_server", u.server.ID), zap.String("route", x.route.Name),
-		zap.String("framing", u.framing()), zap.String("last_event_id", events.lastID),
-		zap.Int("events", events.count), zap.Int("expected_tokens", x.expectedTokens),
+		zap.String("framing", u.framing()), zap.Stringer("last_event_id", &x.position),
+		zap.Int("events", x.position.events), zap.Int("expected_tokens", x.expectedTokens),
 		zap.Int("hint_tokens", x.metadata.boundedHint()), zap.Int("resumes", resumes),
 		zap.Duration("first_event_seconds", timing.firstEvent),
 		zap.Duration("longest_pause_seconds", timing.longestPause))
@@ -205,7 +184,8 @@
 
 // forwardEvents sends events to the caller until the stream ends or breaks. Sent is
 // false if the error occurred while writing to the caller.
-func (x *exchange) forwardEvents(u *upstream, events *eventReader, timing *eventTiming) (sent bool, err error) {
+func (x *exchange) forwardEvents(u *upstream, timing *eventTiming) (sent bool, err error) {
+	events := &eventReader{in: u.response.Body, buffers: &x.buffers}
 	for {
 		batch, err := events.next()
 		if err != nil {
@@ -216,11 +196,13 @@
 		if err := x.w.writeBody(batch); err != nil {
 			return false, err
 		}
+		x.position.advance(batch)
 	}
 }
 
-// resume continues the generation at the server to which its memory was moved.
-func (x *exchange) resume(ctx context.Context, from backend.Server, lastID string) (*upstream, error) {
+// resume continues the generation, after the last event that the caller has, at the server to which its memory was
+// moved.
+func (x *exchange) resume(ctx context.Context, from backend.Server) (*upstream, error) {
 	if x.g.options.Locator == nil {
 		return nil, errors.New("resuming generations is not configured")
 	}
@@ -244,7 +226,7 @@
 	if !x.g.notices.awaitRest(ctx, server.ID) {
 		return nil, errors.New("the server with the copy asked for rest")
 	}
-	next, result, err := x.sendResumed(ctx, server, name, lastID)
+	next, result, err := x.sendResumed(ctx, server, name)
 	if err != nil {
 		return nil, err
 	}
@@ -253,6 +235,8 @@
 		next.close()
 		return nil, errors.Errorf("the server with the copy responded with status %d", next.response.StatusCode)
 	}
+	x.logger.Info("generation continues at another server", zap.String("backend_server", server.ID),
+		zap.String("from", from.ID), zap.Stringer("last_event_id", &x.position), zap.Int("events", x.position.events))
 	return next, nil
 }
 
@@ -268,9 +252,9 @@
 	x.w.abort()
 }
 
-func (x *exchange) logBroken(ctx context.Context, u *upstream, events *eventReader, err, resumeErr error) {
+func (x *exchange) logBroken(ctx context.Context, u *upstream, err, resumeErr error) {
 	x.logger.Info("stream broken off by its server", zap.String("backend_server", u.server.ID), zap.String("framing", u.framing()),
-		zap.Int("events", events.count), zap.String("last_event_id", events.lastID), zap.Bool("time_over", ctx.Err() != nil),
+		zap.Int("events", x.position.events), zap.Stringer("last_event_id", &x.position), zap.Bool("time_over", ctx.Err() != nil),
 		zap.Bool("entry_stops", isStopping(ctx)), zap.NamedError("cause", err),
 		zap.Bool("resumed", resumeErr == nil), zap.NamedError("resume_error", resumeErr))
 }
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -50,17 +50,17 @@
 
 // confirmEnd returns nil if a stream that ended at the end of its response is complete. Where the end of the
 // connection marks the end of the body, the agent beside the server has to confirm it.
-func (x *exchange) confirmEnd(ctx context.Context, u *upstream, events *eventReader) error {
+func (x *exchange) confirmEnd(ctx context.Context, u *upstream) error {
 	if u.framing() != framingClose || !u.watched && !x.g.hasAgent(x.service, u.server) {
 		return nil
 	}
 	cancelCrashCheck := x.newCrashCheck(ctx, u.server).runAfter(unconfirmedCrashDelay)
-	verdict, reason := x.askEnd(ctx, u, events)
+	verdict, reason := x.askEnd(ctx, u)
 	if verdict != streamend.Unknown {
 		cancelCrashCheck()
 	}
 	x.g.metrics.streamEndVerdicts.Add(verdict.String(), 1)
-	x.logger.Info("end of a stream without framing", zap.String("backend_server", u.server.ID), zap.Int("events", events.count),
+	x.logger.Info("end of a stream without framing", zap.String("backend_server", u.server.ID), zap.Int("events", x.position.events),
 		zap.Stringer("verdict", verdict), zap.String("reason", reason))
 	if verdict == streamend.Ended {
 		return nil
@@ -69,11 +69,11 @@
 }
 
 // askEnd asks the agent how the generation ended, again if the call fails.
-func (x *exchange) askEnd(ctx context.Context, u *upstream, events *eventReader) (streamend.Verdict, string) {
+func (x *exchange) askEnd(ctx context.Context, u *upstream) (streamend.Verdict, string) {
 	end := time.Now().Add(confirmTimeout)
 	for {
 		verdict, reason, err := x.g.options.Locator.StreamEnd(ctx, u.server, StreamEnd{ID: x.metadata.ID,
-			SentAgo: fleet.SinceBoot() - u.sentAt, Events: events.count})
+			SentAgo: fleet.SinceBoot() - u.sentAt, Events: x.position.events})
 		if err == nil {
 			return verdict, reason
 		}
