Follow every move of a stream that precedes its answer

What callers saw: 502, or a reset after the head or some events, although a server held the generation: it had been moved to a server that was emptied too, before that one answered (seen by the users in 3 s).

Cause: attempt and forwardStream asked for one move and took the break of the next server for the end. Only a break after the next head was followed further.

Change: resume follows further moves while a server breaks off before its head. All requests for the rest of a stream count against maxResumes, also those before the first event. A continued generation is logged with its position.

Why it works: a break before the head says nothing else than one after it, and the agent beside the server that broke knows whether it moved the generation on. Without such a move the stream fails as before.

--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -73,6 +73,8 @@
 	room roomUse
 	// position is the place up to which the caller has the stream.
 	position streamPosition
+	// resumes is how often the generation was sent to a server to which it was moved.
+	resumes int
 	// buffers is the memory that the response holds.
 	buffers budgetShare
 	logger  *zap.Logger
--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -135,6 +135,38 @@
 	}
 }
 
+// Guards against a caller that gets no answer, or the beginning of one, although a server holds the generation, because it
+// was moved more than once before an event, and against moves that are followed without end.
+func TestStreamFollowsMovesBeforeItsFirstEvent(t *testing.T) {
+	for name, c := range map[string]struct {
+		named []string
+		moves []movedAt
+		first int
+	}{
+		"before the head":                 {nil, []movedAt{beforeHead, beforeHead, notMoved}, 1},
+		"after the head":                  {nil, []movedAt{afterHead, beforeHead, notMoved}, 1},
+		"after events":                    {nil, []movedAt{afterEvents, beforeHead, afterHead, notMoved}, 1},
+		"resumed, before the head":        {[]string{"22"}, []movedAt{beforeHead, beforeHead, notMoved}, 23},
+		"resumed, before the head, often": {[]string{"22"}, append(slices.Repeat([]movedAt{beforeHead}, maxResumes), notMoved), 23},
+		"resumed, at each moment":         {[]string{"22"}, []movedAt{beforeHead, afterHead, beforeHead, afterEvents, beforeHead, notMoved}, 23},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMovedStream(t, c.moves...)
+			status, body, err := m.read(c.named...)
+			if want := events(c.first, movedStreamEvents); status != http.StatusOK || err != nil || body != want {
+				t.Errorf("status %d, %v, events %s, want %d to %d", status, err, eventNumbers(body), c.first, movedStreamEvents)
+			}
+		})
+	}
+	m := newMovedStream(t, slices.Repeat([]movedAt{beforeHead}, 2*maxResumes)...)
+	if status, body, err := m.read(); status != http.StatusBadGateway || err != nil {
+		t.Errorf("moved without end: status %d, %v, %q", status, err, body)
+	}
+	if len(m.lastEventIDs) != 1+maxResumes {
+		t.Errorf("moved without end: %d servers were asked, want %d", len(m.lastEventIDs), 1+maxResumes)
+	}
+}
+
 // Guards against a server that gets another last event id than the server before it, which got the caller's as it came.
 func TestLastEventIDOfTheCallerIsPassedOnAsItCame(t *testing.T) {
 	for _, named := range [][]string{nil, {""}, {"0"}, {"22", "23"}, {"22, 23"}, {"2 2"}, {"abc"}, {"-1"}} {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,7 +71,7 @@
 		return
 	}
 	timing := eventTiming{lastEvent: x.r.arrived}
-	for resumes := 0; ; resumes++ {
+	for {
 		sent, err := x.forwardEvents(u, &timing)
 		if sent && errors.Is(err, io.EOF) {
 			if unconfirmed := x.confirmEnd(ctx, u); unconfirmed != nil {
@@ -88,16 +88,13 @@
 			x.observe(u.server, false)
 			x.clearSuspicion()
 			x.observeLength(&timing)
-			x.logEnd(u, &timing, resumes)
+			x.logEnd(u, &timing)
 			if err := x.w.finish(); err != nil {
 				x.callerGone(err)
 			}
 			return
 		}
-		next, resumeErr := (*upstream)(nil), errors.New("the generation was resumed too often")
-		if resumes < maxResumes {
-			next, resumeErr = x.resume(ctx, u.server)
-		}
+		next, resumeErr := x.resume(ctx, u.server)
 		x.logBroken(ctx, u, err, resumeErr)
 		if resumeErr != nil && ctx.Err() == nil && !isUnconfirmedEnd(err) {
 			x.reportResult(u.server.ID, placement.Failed)
@@ -166,7 +163,7 @@
 
 // logEnd logs a complete response. Late responses have a log message of their own,
 // so that log sampling, which counts by message, does not drop them.
-func (x *exchange) logEnd(u *upstream, timing *eventTiming, resumes int) {
+func (x *exchange) logEnd(u *upstream, timing *eventTiming) {
 	message := "stream ended"
 	if x.route.Objective > 0 && timing.firstEvent > x.route.Objective ||
 		x.route.MaxGap > 0 && timing.longestPause > x.route.MaxGap {
@@ -177,7 +174,7 @@
 	x.logger.Info(message, zap.String("backend_server", u.server.ID), zap.String("route", x.route.Name),
 		zap.String("framing", u.framing()), zap.Stringer("last_event_id", &x.position),
 		zap.Int("events", x.position.events), zap.Int("expected_tokens", x.expectedTokens),
-		zap.Int("hint_tokens", x.metadata.boundedHint()), zap.Int("resumes", resumes),
+		zap.Int("hint_tokens", x.metadata.boundedHint()), zap.Int("resumes", x.resumes),
 		zap.Duration("first_event_seconds", timing.firstEvent),
 		zap.Duration("longest_pause_seconds", timing.longestPause))
 }
@@ -201,43 +198,65 @@
 }
 
 // resume continues the generation, after the last event that the caller has, at the server to which its memory was
-// moved.
+// moved. A server that breaks off before it answers may have moved it on, so resume follows further moves.
 func (x *exchange) resume(ctx context.Context, from backend.Server) (*upstream, error) {
+	for {
+		if x.resumes >= maxResumes {
+			return nil, errors.New("the generation was resumed too often")
+		}
+		server, name, err := x.locateCopy(ctx, from)
+		if err != nil {
+			return nil, err
+		}
+		x.resumes++
+		next, result, err := x.sendResumed(ctx, server, name)
+		x.g.countCrossing(next, crossingResumed)
+		switch {
+		case result == dispatch.Lost && ctx.Err() == nil:
+			x.logger.Info("generation did not continue at another server", zap.String("backend_server", server.ID),
+				zap.String("from", from.ID), zap.Stringer("last_event_id", &x.position), zap.Error(err))
+			next.discard()
+			from = server
+			continue
+		case err != nil:
+			return nil, err
+		case result != dispatch.Answered || next.response.StatusCode != http.StatusOK:
+			next.close()
+			return nil, errors.Errorf("the server with the copy responded with status %d", next.response.StatusCode)
+		}
+		x.logger.Info("generation continues at another server", zap.String("backend_server", server.ID),
+			zap.String("from", from.ID), zap.Stringer("last_event_id", &x.position), zap.Int("events", x.position.events))
+		return next, nil
+	}
+}
+
+// locateCopy returns the server to which the generation was moved, and the name of the copy there, when the server may
+// get the generation.
+func (x *exchange) locateCopy(ctx context.Context, from backend.Server) (server backend.Server, name string, err error) {
 	if x.g.options.Locator == nil {
-		return nil, errors.New("resuming generations is not configured")
+		return server, "", errors.New("resuming generations is not configured")
 	}
 	if ctx.Err() != nil {
-		return nil, ctx.Err()
+		return server, "", ctx.Err()
 	}
 	if x.partHeld() {
-		return nil, errors.New("a part of the prompt is held back")
+		return server, "", errors.New("a part of the prompt is held back")
 	}
 	address, name, err := x.g.options.Locator.Locate(ctx, from, x.metadata.ID)
 	if err != nil {
-		return nil, err
+		return server, "", err
 	}
 	server, ok := x.g.services.at(address)
 	if !ok {
-		return nil, errors.Errorf("no server is known at %s", address)
+		return server, "", errors.Errorf("no server is known at %s", address)
 	}
 	if err := x.g.checkEvacuated(server, true); err != nil {
-		return nil, err
+		return server, "", err
 	}
 	if !x.g.notices.awaitRest(ctx, server.ID) {
-		return nil, errors.New("the server with the copy asked for rest")
-	}
-	next, result, err := x.sendResumed(ctx, server, name)
-	if err != nil {
-		return nil, err
-	}
-	x.g.countCrossing(next, crossingResumed)
-	if result != dispatch.Answered || next.response.StatusCode != http.StatusOK {
-		next.close()
-		return nil, errors.Errorf("the server with the copy responded with status %d", next.response.StatusCode)
+		return server, "", errors.New("the server with the copy asked for rest")
 	}
-	x.logger.Info("generation continues at another server", zap.String("backend_server", server.ID),
-		zap.String("from", from.ID), zap.Stringer("last_event_id", &x.position), zap.Int("events", x.position.events))
-	return next, nil
+	return server, name, nil
 }
 
 // reportResult reports the result of a request at a server to placement.
