Judge the end of a resumed stream whatever its server counts

What callers saw: a caller resumed with Last-Event-Id: 22, the answer had neither a length nor chunks, and nothing was disrupted. All 38 events arrived, then its connection was reset, and again whenever it resumed (seen by the users).

Cause: the agent compared the events that arrived, 38, with the events that the server had made, 60: the server counts the caller's 22 too. PROTOCOL.md says "Each entry of the list has the form [id, tokens in memory, events made, priority]" and "`made` (the events generated so far)", which fits both counts, so neither can be assumed.

Change: the question for the end of a stream tells the events that arrived, those of them from earlier servers, and the caller's own. The agent allows for the caller's only if the server has shown that it counts them: it listed as many before it can have made as many. Where that stays open the end is unknown, so the caller is told of a break. Agents of before ignore the new fields.

Why it works: what a server that does not count the caller's events lists first is too small, or came at a rate that the run did not reach later, so a cut stream is never allowed for. docs/design/stream-ends.md says where a whole stream is still cut.

--- a/core/streamend/streamend.go
+++ b/core/streamend/streamend.go
@@ -69,8 +69,12 @@
 	// SentAt is when the request was sent to the server, or up to SentSlack later, because the question was
 	// under way for a time that the agent does not know.
 	SentAt, SentSlack time.Duration
-	// Events is the number of events that arrived.
-	Events int
+	// Events is the number of events that arrived since the caller's request, and EventsBefore how many of them came
+	// from earlier servers.
+	Events, EventsBefore int
+	// CallerEvents is the number of events that the caller had before its request. Whether the server counts them in
+	// Run.Events is not known.
+	CallerEvents int
 }
 
 // Judgment is the answer to a question. While Open is set, later observations may change it.
@@ -95,12 +99,6 @@
 	events int
 }
 
-// listing tells when a run was last listed, and its events.
-type listing struct {
-	at     time.Duration
-	events int
-}
-
 // Watch holds what was seen of one backend server. It is not safe for concurrent use.
 type Watch struct {
 	inheritedUntil time.Duration
@@ -125,13 +123,19 @@
 // Observe takes in a status. It reports whether the process of the server is still known to be the same.
 func (w *Watch) Observe(o Observation) (same bool) {
 	same = w.observed && (o.Process == w.last.Process || w.continues(o))
+	beforeLast := w.previousAt
 	w.previousAt = w.last.RequestedAt
 	if !same {
 		w.since, w.runs, w.previousAt = o.ReceivedAt, map[string]listing{}, -1
 	}
 	for _, run := range o.Runs {
 		if o.RequestedAt >= w.inheritedUntil {
-			w.runs[run.ID] = listing{o.RequestedAt, run.Events}
+			known := w.runs[run.ID]
+			if known.at < beforeLast {
+				// The run left the server and came back.
+				known = listing{}
+			}
+			w.runs[run.ID] = known.next(o.RequestedAt, run.Events, w.previousAt)
 		}
 		w.observeStopped(o.RequestedAt, run)
 	}
@@ -273,7 +277,7 @@
 			return Judgment{Unknown, true, "the server still runs it"}
 		}
 	}
-	if listing.events > q.Events {
+	if listing.lacksEvents(q) {
 		return Judgment{Unknown, false, "the server made more events"}
 	}
 	return Judgment{Ended, false, "the server lives on without it"}
--- a/evacuate/streamend.go
+++ b/evacuate/streamend.go
@@ -96,9 +96,10 @@
 // StreamEndRequest asks how a generation ended whose answer ended with its connection.
 type StreamEndRequest struct {
 	Run string
-	// SentAgo is how long ago the request was sent to the server, and Events how many events arrived.
-	SentAgo time.Duration
-	Events  int
+	// SentAgo is how long ago the request was sent to the server. The numbers of events are those of
+	// streamend.Question.
+	SentAgo                            time.Duration
+	Events, EventsBefore, CallerEvents int
 	// SentSlack is how long the question may be under way.
 	SentSlack time.Duration
 }
@@ -115,7 +116,8 @@
 func (s *service) StreamEnd(request *StreamEndRequest, reply *StreamEndReply) error {
 	a, askedAt := s.agent, fleet.SinceBoot()
 	q := streamend.Question{Run: request.Run, AskedAt: askedAt, SentAt: askedAt - request.SentAgo,
-		SentSlack: max(minSentSlack, request.SentSlack), Events: request.Events}
+		SentSlack: max(minSentSlack, request.SentSlack), Events: request.Events, EventsBefore: request.EventsBefore,
+		CallerEvents: request.CallerEvents}
 	started, rested := time.Now(), false
 	for {
 		judgment, changed := a.ends.judge(q)
@@ -139,6 +141,7 @@
 	}
 	a.metrics.streamEnds.Add(reply.Verdict.String(), 1)
 	a.options.Logger.Info("end of a stream judged", zap.String("request_id", request.Run), zap.Int("events", request.Events),
+		zap.Int("events_before", request.EventsBefore), zap.Int("caller_events", request.CallerEvents),
 		zap.Stringer("verdict", reply.Verdict), zap.String("reason", reply.Reason),
 		zap.Duration("sent_ago_seconds", request.SentAgo), zap.Duration("waited_seconds", reply.Waited))
 	return nil
@@ -152,7 +155,8 @@
 	for slack := minSentSlack; ; {
 		var reply StreamEndReply
 		started := time.Now()
-		request := StreamEndRequest{Run: end.ID, SentAgo: end.SentAgo + started.Sub(asked), Events: end.Events, SentSlack: slack}
+		request := StreamEndRequest{Run: end.ID, SentAgo: end.SentAgo + started.Sub(asked), SentSlack: slack,
+			Events: end.Events, EventsBefore: end.EventsBefore, CallerEvents: end.CallerEvents}
 		if err := l.Pool.Call(ctx, l.AgentAddress(server.Address), ServiceName+".StreamEnd", &request, &reply); err != nil {
 			return streamend.Unknown, "", err
 		}
--- a/evacuate/streamend_test.go
+++ b/evacuate/streamend_test.go
@@ -117,6 +117,28 @@
 	}
 }
 
+// Guards against a resumed stream that is cut although it is whole, because the agent does not learn of the events that its
+// caller had before.
+func TestStreamEndOfResumedGeneration(t *testing.T) {
+	t.Parallel()
+	engine := &testEngine{copied: map[string]int{}}
+	_, locator := newAgent(t, engine)
+	time.Sleep(2 * maxSentSlack)
+	sent := time.Now()
+	for _, events := range []int{0, 23, 24, 25} {
+		engine.setStatus(Status{Generations: []evacuation.Generation{{ID: "r1", Tokens: 3000, Events: events}}})
+		time.Sleep(3 * statusInterval / 2)
+	}
+	engine.setStatus(Status{})
+	for callerEvents, want := range map[int]streamend.Verdict{22: streamend.Ended, 21: streamend.Unknown, 0: streamend.Unknown} {
+		verdict, reason, err := locator.StreamEnd(context.Background(), backend.Server{Address: "self"},
+			gateway.StreamEnd{ID: "r1", SentAgo: time.Since(sent), Events: 3, CallerEvents: callerEvents})
+		if err != nil || verdict != want {
+			t.Errorf("%d events before: %v, %q, %v, want %v", callerEvents, verdict, reason, err, want)
+		}
+	}
+}
+
 // Guards against complete streams that are cut while their server wants no calls, not even of its agent.
 func TestStreamEndWaitsForTheEndOfARest(t *testing.T) {
 	running := Status{Generations: []evacuation.Generation{{ID: "r1", Tokens: 3000, Events: 3}}}
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -89,7 +89,7 @@
 		buffers: budgetShare{budget: g.memory}}
 	defer x.buffers.release()
 	defer x.releaseRoom()
-	x.position.lastEventID = x.metadata.LastEventID
+	x.position = newStreamPosition(x.metadata.LastEventID)
 	x.logger = g.logger.With(zap.String("request_id", x.metadata.ID))
 	if !x.admit() || x.refuseQuarantined() {
 		return
--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"arbutusmast.example/arbutusmast/core/backend"
+	"arbutusmast.example/arbutusmast/core/streamend"
 	"github.com/pkg/errors"
 )
 
@@ -192,3 +193,55 @@
 	}
 	return strings.Join(ids, " ")
 }
+
+// Guards against a question for the end of a resumed stream that does not tell the events of the caller from those that
+// arrived, also from earlier servers.
+func TestEndOfResumedStreamIsAskedWithTheEventsOfItsCaller(t *testing.T) {
+	for _, c := range []struct {
+		named      []string
+		moved      bool
+		sent, rest string
+		want       StreamEnd
+	}{
+		{nil, false, events(1, 60), "", StreamEnd{Events: 60}},
+		{[]string{"22"}, false, events(23, 60), "", StreamEnd{Events: 38, CallerEvents: 22}},
+		{[]string{"60"}, false, "", "", StreamEnd{CallerEvents: 60}},
+		{[]string{"0"}, false, events(1, 60), "", StreamEnd{Events: 60}},
+		{[]string{"a"}, false, events(23, 60), "", StreamEnd{Events: 38}},
+		{[]string{"22", "23"}, false, events(23, 60), "", StreamEnd{Events: 38}},
+		{[]string{"22"}, false, "id: a\n\n", "", StreamEnd{Events: 1}},
+		{[]string{"22"}, false, ": wait\n\n", "", StreamEnd{Events: 1, CallerEvents: 21}},
+		{[]string{"22"}, true, events(23, 30), events(31, 60), StreamEnd{Events: 38, EventsBefore: 8, CallerEvents: 22}},
+		{nil, true, events(1, 30), events(31, 60), StreamEnd{Events: 60, EventsBefore: 30}},
+		{[]string{"22"}, true, "", events(23, 60), StreamEnd{Events: 38, CallerEvents: 22}},
+	} {
+		server := newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.Header.Get("T-Copy") != "":
+				unframed(w, r, c.rest)
+			case c.moved:
+				_, _ = io.WriteString(w, c.sent)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			default:
+				unframed(w, r, c.sent)
+			}
+		})
+		locator := &endLocator{verdict: streamend.Ended, locatorFunc: func(s backend.Server, _ string) (string, string, error) {
+			return s.Address, "copy", nil
+		}}
+		m := &movedStream{harness: newHarness(t, locator, server)}
+		m.declareEngine()
+		if status, _, err := m.read(c.named...); status != http.StatusOK || err != nil {
+			t.Errorf("%q: status %d, %v", c.named, status, err)
+		}
+		got := locator.end.Load()
+		if got == nil {
+			t.Fatalf("%q: the agent was not asked", c.named)
+		}
+		c.want.ID, c.want.SentAgo = got.ID, got.SentAgo
+		if *got != c.want {
+			t.Errorf("%q, %q: asked for %+v, want %+v", c.named, c.sent, *got, c.want)
+		}
+	}
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -70,7 +70,7 @@
 	watched := x.g.hasAgent(x.service, server)
 	u, result, err := x.g.send(ctx, server, x.r, f, permitUntil)
 	if u != nil {
-		u.watched = watched
+		u.watched, u.eventsBefore = watched, x.position.events
 	}
 	return u, result, err
 }
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -24,10 +24,13 @@
 // StreamEnd describes a generation whose answer ended with its connection.
 type StreamEnd struct {
 	ID string
-	// SentAgo is how long ago the request was sent to the server, and Events the number of events of the
-	// generation that arrived, also from earlier servers.
+	// SentAgo is how long ago the request was sent to the server.
 	SentAgo time.Duration
-	Events  int
+	// Events is the number of events that arrived since the caller's request, and EventsBefore how many of them came
+	// from earlier servers.
+	Events, EventsBefore int
+	// CallerEvents is the number of events that the caller had before its request, 0 if unknown.
+	CallerEvents int
 }
 
 // unconfirmedEndError means that the connection of an answer without a length or chunks was closed, and that
@@ -73,7 +76,8 @@
 	end := time.Now().Add(confirmTimeout)
 	for {
 		verdict, reason, err := x.g.options.Locator.StreamEnd(ctx, u.server, StreamEnd{ID: x.metadata.ID,
-			SentAgo: fleet.SinceBoot() - u.sentAt, Events: x.position.events})
+			SentAgo: fleet.SinceBoot() - u.sentAt, Events: x.position.events,
+			EventsBefore: u.eventsBefore, CallerEvents: x.position.callerEvents()})
 		if err == nil {
 			return verdict, reason
 		}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -45,9 +45,11 @@
 	limited  *io.LimitedReader
 	response *http.Response
 	// watched is set if an agent ran beside the server when the request was sent.
-	watched  bool
-	metadata ResponseMetadata
-	stop     func() bool
+	watched bool
+	// eventsBefore is the number of events that were forwarded before the request was sent.
+	eventsBefore int
+	metadata     ResponseMetadata
+	stop         func() bool
 	// crossing counts the bytes of the body by crossingCause, nil if the server is in the
 	// failure domain of this entry.
 	crossing      *observe.Counters
