--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -70,6 +70,13 @@
 	return m
 }
 
+// received returns the header values that the servers received so far.
+func (m *movedStream) received() [][]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.lastEventIDs)
+}
+
 // serve sends the events after the last one that the request names.
 func (m *movedStream) serve(w http.ResponseWriter, r *http.Request, moved movedAt) {
 	first, _ := strconv.Atoi(r.Header.Get("T-Last"))
@@ -129,8 +136,8 @@
 			if want := events(c.first, movedStreamEvents); status != http.StatusOK || err != nil || body != want {
 				t.Errorf("status %d, %v, events %s, want %d to %d", status, err, eventNumbers(body), c.first, movedStreamEvents)
 			}
-			if len(m.lastEventIDs) != 2 || !slices.Equal(m.lastEventIDs[0], c.named) {
-				t.Errorf("the servers got the last event ids %q", m.lastEventIDs)
+			if got := m.received(); len(got) != 2 || !slices.Equal(got[0], c.named) {
+				t.Errorf("the servers got the last event ids %q", got)
 			}
 		})
 	}
@@ -163,8 +170,8 @@
 	if status, body, err := m.read(); status != http.StatusBadGateway || err != nil {
 		t.Errorf("moved without end: status %d, %v, %q", status, err, body)
 	}
-	if len(m.lastEventIDs) != 1+maxResumes {
-		t.Errorf("moved without end: %d servers were asked, want %d", len(m.lastEventIDs), 1+maxResumes)
+	if got := len(m.received()); got != 1+maxResumes {
+		t.Errorf("moved without end: %d servers were asked, want %d", got, 1+maxResumes)
 	}
 }
 
@@ -176,7 +183,7 @@
 			if status, _, err := m.read(named...); status != http.StatusOK || err != nil {
 				t.Errorf("%q: status %d, %v", named, status, err)
 			}
-			if got := m.lastEventIDs; len(got) != 2 || !slices.Equal(got[0], named) || !slices.Equal(got[1], named) {
+			if got := m.received(); len(got) != 2 || !slices.Equal(got[0], named) || !slices.Equal(got[1], named) {
 				t.Errorf("the servers got the last event ids %q, the caller sent %q", got, named)
 			}
 		}
