--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -201,6 +201,22 @@
 	return strings.Join(ids, " ")
 }
 
+// Guards against a position that goes back to the beginning after an event without an id, or with an empty one.
+func TestEventWithoutIDKeepsThePosition(t *testing.T) {
+	for name, sent := range map[string]string{"no id": "data: wait\n\n", "empty id": "id:\ndata: wait\n\n", "comment": ": wait\n\n"} {
+		for _, c := range []struct{ named, before, want string }{{"22", "", "22"}, {"22", events(23, 25), "25"}, {"", events(1, 3), "3"}} {
+			p := streamPosition{}
+			if c.named != "" {
+				p = newStreamPosition([]string{c.named})
+			}
+			p.advance([]byte(c.before + sent))
+			if p.String() != c.want {
+				t.Errorf("%s after %q: the caller named %q, the position is %q, want %q", name, c.before, c.named, &p, c.want)
+			}
+		}
+	}
+}
+
 // Guards against a question for the end of a resumed stream that does not tell the events of the caller from those that
 // arrived, also from earlier servers.
 func TestEndOfResumedStreamIsAskedWithTheEventsOfItsCaller(t *testing.T) {
